--- /dev/null
+++ b/crates/merlinreel-core/src/decide.rs
@@ -0,0 +1,904 @@
+//! All decisions of a limiter. How to call it: `Limiter::new` once at start, then `Limiter::round`
+//! with the clock, all that came in since the last round, and a `Writer` that takes the decisions.
+//! The plain data and the writer are the interface, in `lib.rs`; `letter.rs` holds the bytes of a
+//! batch between limiters. Docs: `docs/design.md`, `docs/on-call.md`.
+
+use crate::letter::{self, Head, Row};
+use crate::*;
+use nanorand::{Rng, WyRand};
+use std::collections::HashMap;
+
+fn secs(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
+
+/// What is measured over time: sums in fixed buckets of time, used again in a ring.
+struct Ring {
+    width: f64,
+    slot: u64,
+    sums: [f64; 8],
+}
+
+impl Ring {
+    fn new(length: Duration) -> Ring {
+        Ring { width: (secs(length) / 8.0).max(0.001), slot: 0, sums: [0.0; 8] }
+    }
+
+    fn turn(&mut self, now: Duration) {
+        let slot = (secs(now) / self.width) as u64;
+        for passed in (self.slot + 1..=slot).rev().take(8) {
+            self.sums[passed as usize % 8] = 0.0;
+        }
+        self.slot = self.slot.max(slot);
+    }
+
+    fn add(&mut self, now: Duration, amount: f64) {
+        self.turn(now);
+        self.sums[self.slot as usize % 8] += amount;
+    }
+
+    fn sum(&mut self, now: Duration) -> f64 {
+        self.turn(now);
+        self.sums.iter().sum()
+    }
+}
+
+// ---- Quotas: one account per customer, counted in clock-aligned windows ----
+
+/// Index 0 of the pairs is the present window, 1 the one before it, which late news still reach.
+#[derive(Default)]
+struct Account {
+    customer: u64,
+    plan: usize,
+    set_size: u32,
+    set_first: u32,
+    window: u64,
+    /// Allowance that the window began with: what the store held then.
+    carried: f64,
+    /// Refill of this window that found the store full.
+    spilled: f64,
+    own: [f64; 2],
+    /// By limiter, what it reported; with a counter all others' units stand in this limiter's place.
+    heard: [Vec<f64>; 2],
+    /// Batches that are still to carry the window's row (with a counter: a call is due).
+    news: [u8; 2],
+    /// Units that the counter was given, and the call it has not answered yet: window, own, amount.
+    counted: [f64; 2],
+    calling: Option<(u64, f64, f64)>,
+    /// Own units admitted since the last batch: peers cannot know of them.
+    untold: f64,
+    /// A new customer's quota is split until then, or until it is reported.
+    split_until: Duration,
+    out: u32,
+    ceiling: f64,
+    ceiling_at: Duration,
+}
+
+/// The window's length starts as the design has it: the store's size over its rate.
+fn window_length(plan: &Plan) -> f64 {
+    if plan.rate > 0.0 { (plan.burst / plan.rate).max(0.1) } else { 1.0 }
+}
+
+impl Account {
+    fn new(customer: u64, plan_index: usize, plan: &Plan, limiters: u32, now: Duration) -> Account {
+        let window = (secs(now) / window_length(plan)) as u64;
+        let heard = || vec![0.0; limiters as usize];
+        let refill = secs(now) - window as f64 * window_length(plan);
+        Account {
+            customer,
+            plan: plan_index,
+            window,
+            carried: plan.burst - plan.rate * refill,
+            heard: [heard(), heard()],
+            ceiling_at: now,
+            ..Account::default()
+        }
+    }
+
+    /// What the quota leaves at this moment: a store counted by windows (see `roll`).
+    fn left(&self, now: Duration, plan: &Plan) -> f64 {
+        let into = secs(now) - self.window as f64 * window_length(plan);
+        let heard: f64 = self.heard[0].iter().sum();
+        self.carried - self.spilled + plan.rate * into - self.own[0] - heard
+    }
+
+    /// Departure from the fixed windows: guards against all limiters opening together at a window's
+    /// edge. The unused allowance is carried into the next window and the refill comes evenly, so
+    /// the window counts follow the store of rate and burst that the quota really is.
+    fn roll(&mut self, now: Duration, plan: &Plan) {
+        let length = window_length(plan);
+        let window = (secs(now) / length) as u64;
+        if window > self.window {
+            let edge = span((self.window + 1) as f64 * length);
+            let passed = (window - self.window - 1) as f64;
+            self.carried = (self.left(edge, plan) + passed * plan.rate * length).min(plan.burst);
+            let next = window == self.window + 1;
+            for pair in [&mut self.own, &mut self.counted] {
+                pair[1] = if next { pair[0] } else { 0.0 };
+                pair[0] = 0.0;
+            }
+            self.heard.swap(0, 1);
+            self.heard[0].fill(0.0);
+            let used = next && (self.own[1] != 0.0 || self.heard[1].iter().any(|&units| units != 0.0));
+            if !next {
+                self.heard[1].fill(0.0);
+            }
+            self.news = [0, self.news[0].max(u8::from(used)) * u8::from(next)];
+            self.spilled = 0.0;
+            self.window = window;
+        }
+        let over = self.left(now, plan) - plan.burst;
+        if over > 0.0 {
+            self.spilled += over;
+        }
+    }
+
+    /// Index of a window in the pairs; older ones are dropped, as are ones yet to come.
+    fn place(&self, window: u64) -> Option<usize> {
+        (0..2).find(|&i| window + i as u64 == self.window)
+    }
+
+    fn add_own(&mut self, window: u64, units: f64) {
+        let Some(i) = self.place(window) else {
+            self.carried -= units;
+            return;
+        };
+        self.own[i] += units;
+        self.carried -= units * i as f64;
+        // Told twice: a lost batch is made good by the next, and totals make repeats harmless.
+        self.news[i] = 2;
+    }
+
+    /// A peer's total of a window. What was admitted past an empty store took nothing from it.
+    fn hear(&mut self, now: Duration, plan: &Plan, from: usize, window: u64, total: f64, floor: f64) {
+        self.roll(now, plan);
+        let Some(i) = self.place(window) else { return };
+        let units = total - self.heard[i][from];
+        self.heard[i][from] = total;
+        self.carried -= units * i as f64;
+        let left = self.left(now, plan);
+        if units > 0.0 && left < -floor {
+            self.spilled -= (-floor - left).min(units);
+        }
+        self.split_until = Duration::ZERO;
+    }
+
+    /// Limiters that this quota is split over between two batches: those that used it lately.
+    fn sharers(&self, now: Duration, peers: Peers) -> f64 {
+        if now < self.split_until {
+            return f64::from(self.set_size.max(1));
+        }
+        let me = peers.me as usize;
+        if peers.counter {
+            let others = self.heard[0][me] + self.heard[1][me] > 0.0;
+            return if others { f64::from(self.set_size.max(1)) } else { 1.0 };
+        }
+        let active = |p: &usize| *p != me && self.heard[0][*p] + self.heard[1][*p] > 0.0;
+        1.0 + (0..self.heard[0].len()).filter(active).count() as f64
+    }
+
+    fn admits(&self, now: Duration, plan: &Plan, units: f64, peers: Peers) -> bool {
+        if plan.most_open > 0 && self.out >= (plan.most_open / self.set_size.max(1)).max(1) {
+            return false;
+        }
+        if plan.rate <= 0.0 {
+            return true;
+        }
+        let left = self.left(now, plan);
+        let share = (left + self.untold) / self.sharers(now, peers);
+        let first = now < self.split_until && self.untold == 0.0;
+        left >= units && (first || self.untold + units <= share)
+    }
+
+    /// Guards the hard ceiling alone, whatever peers do: each limiter of the set keeps a part of its
+    /// own, which starts empty but for half the slack, as a restart finds the store as it stands.
+    fn under_ceiling(&mut self, now: Duration, plan: &Plan, units: f64) -> bool {
+        if plan.ceiling_rate <= 0.0 {
+            return true;
+        }
+        let part = f64::from(self.set_size.max(1));
+        let gained = secs(now.saturating_sub(self.ceiling_at)) * plan.ceiling_rate / part;
+        self.ceiling = (self.ceiling + gained).min(plan.ceiling_depth / part);
+        self.ceiling_at = now;
+        units <= self.ceiling + plan.ceiling_slack / part / 2.0
+    }
+
+    fn includes(&self, limiter: u32, limiters: u32) -> bool {
+        (limiter + limiters - self.set_first % limiters) % limiters < self.set_size
+    }
+}
+
+// ---- Servers: credits, health, cold starts ----
+
+struct Server {
+    entry: RosterEntry,
+    listed: bool,
+    /// Most trips that this limiter has out there, and how many are.
+    credits: f64,
+    out: u32,
+    took: f64,
+    errors: f64,
+    strikes: u32,
+    benched_until: Duration,
+    /// Since when it owes an answer and gave none.
+    owing_since: Duration,
+    cold_since: Option<Duration>,
+    down: bool,
+    sends: Ring,
+    cut_at: Duration,
+}
+
+impl Server {
+    fn new(entry: RosterEntry, rules: &ServerRules) -> Server {
+        Server {
+            entry,
+            listed: true,
+            // Starting value: two in work and two waiting, on machines of a few cores.
+            credits: 4.0,
+            out: 0,
+            took: 0.0,
+            errors: 0.0,
+            strikes: 0,
+            benched_until: Duration::ZERO,
+            owing_since: Duration::ZERO,
+            cold_since: None,
+            down: false,
+            sends: Ring::new(rules.fall_time),
+            cut_at: Duration::ZERO,
+        }
+    }
+
+    /// The share of its capacity that it surely has, from its last known start.
+    fn warmth(&self, now: Duration, rules: &ServerRules) -> f64 {
+        let Some(since) = self.cold_since else { return 1.0 };
+        let part = secs(now.saturating_sub(since)) / secs(rules.warm_after).max(0.001);
+        (rules.start_share + (1.0 - rules.start_share) * part).min(1.0)
+    }
+
+    /// A symptom that the server is not well: a rest that doubles, then one trip on trial.
+    fn strike(&mut self, now: Duration) {
+        self.strikes += 1;
+        // From a quarter second, about a round of answers, up to 4 s, a fair part of a short outage.
+        let rest = 0.125 * f64::from(1u32 << self.strikes.min(5));
+        self.benched_until = now + span(rest);
+    }
+
+    /// Silence longer than any ordinary answer takes guards against hangs and unseen deaths.
+    fn silent(&self, now: Duration, usual: f64) -> bool {
+        // Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages.
+        self.out > 0 && secs(now.saturating_sub(self.owing_since)) > (usual * 6.0).clamp(0.25, 1.5)
+    }
+}
+
+// ---- Jobs and trips ----
+
+struct Trip {
+    server: u32,
+    sent: Duration,
+    out: bool,
+    revoked: bool,
+}
+
+struct OpenJob {
+    job: Job,
+    account: usize,
+    target: Duration,
+    give_up: Duration,
+    trips: Vec<Trip>,
+    /// The window that its units were charged to.
+    window: u64,
+    done: bool,
+    queued: bool,
+    /// The first trip that may have run: where and when it was sent.
+    ran: Option<(u32, Duration)>,
+}
+
+pub struct Limiter {
+    plans: Vec<Plan>,
+    categories: Vec<Category>,
+    peers: Peers,
+    server_rules: ServerRules,
+    job_rules: JobRules,
+    chance: WyRand,
+    accounts: Vec<Account>,
+    by_customer: HashMap<u64, usize>,
+    servers: Vec<Option<Server>>,
+    jobs: Vec<Option<OpenJob>>,
+    queue: Vec<u32>,
+    usual: f64,
+    started: Option<Duration>,
+    beat_at: Duration,
+    woken_at: Duration,
+    letters: u64,
+    /// By limiter: the life and the number of the last letter.
+    last_letter: Vec<(u64, u64)>,
+    roster_at: Duration,
+}
+
+impl Limiter {
+    pub fn new(
+        seed: u64,
+        plans: Vec<Plan>,
+        categories: Vec<Category>,
+        peers: Peers,
+        server_rules: ServerRules,
+        job_rules: JobRules,
+    ) -> Limiter {
+        Limiter {
+            // Until answers are seen, a fifth of the shortest target time.
+            usual: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
+            last_letter: vec![(0, 0); peers.limiters as usize],
+            plans,
+            categories,
+            peers,
+            server_rules,
+            job_rules,
+            chance: WyRand::new_seed(seed),
+            accounts: Vec::new(),
+            by_customer: HashMap::new(),
+            servers: Vec::new(),
+            jobs: Vec::new(),
+            queue: Vec::new(),
+            started: None,
+            beat_at: Duration::ZERO,
+            woken_at: Duration::ZERO,
+            letters: 0,
+            roster_at: Duration::ZERO,
+        }
+    }
+
+    /// How many plans and categories there are; a job names one of each.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.plans.len(), self.categories.len())
+    }
+
+    /// Time between two batches: as short as the peers' inboxes surely take, with room for views.
+    fn sync_interval(&self) -> Duration {
+        // Counter calls are cheap and answered in a few ms; 20 ms keeps them under one a job.
+        if self.peers.counter {
+            return Duration::from_millis(20);
+        }
+        // Three quarters of the inbox for batches, never under 20 ms.
+        let others = f64::from(self.peers.limiters.saturating_sub(1));
+        span((others / (0.75 * self.peers.inbox_per_s.max(1.0))).max(0.02))
+    }
+
+    pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
+        if self.started.is_none() {
+            self.started = Some(now);
+            if self.server_rules.roster_on_request {
+                out.follow_roster(true);
+                self.roster_at = now;
+            }
+            if self.peers.letters {
+                self.post(now, true, None, &[], out);
+            }
+        }
+        for roster in &round.roster {
+            self.follow(now, roster, out);
+        }
+        for letter in &round.letters {
+            self.read_letter(now, letter, out);
+        }
+        for answer in &round.counts {
+            self.read_count(now, answer);
+        }
+        for end in &round.trip_ends {
+            self.end_trip(now, end, out);
+        }
+        for job in round.jobs.iter().filter(|job| !round.left.contains(&job.job)) {
+            self.take(now, job, out);
+        }
+        for &job in &round.left {
+            self.leave(job, out);
+        }
+        if now >= self.beat_at {
+            self.beat_at = now + self.sync_interval();
+            self.sync(now, out);
+            self.watch(now, out);
+        }
+        self.dispatch(now, out);
+        if self.woken_at <= now {
+            self.woken_at = self.beat_at;
+            out.wake(self.beat_at.saturating_sub(now).max(Duration::from_millis(1)));
+        }
+    }
+
+    // ---- Quotas ----
+
+    fn account(&mut self, now: Duration, customer: u64, plan: usize) -> usize {
+        if let Some(&i) = self.by_customer.get(&customer) {
+            return i;
+        }
+        let account = Account::new(customer, plan, &self.plans[plan], self.peers.limiters, now);
+        self.by_customer.insert(customer, self.accounts.len());
+        self.accounts.push(account);
+        self.accounts.len() - 1
+    }
+
+    fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
+        let interval = self.sync_interval();
+        let i = self.account(now, job.customer, job.plan);
+        let (account, peers) = (&mut self.accounts[i], self.peers);
+        let plan = &self.plans[account.plan];
+        if account.set_size == 0 {
+            account.split_until = now + interval;
+        }
+        (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
+        account.roll(now, plan);
+        let admitted = account.admits(now, plan, job.units, peers);
+        if !admitted || !account.under_ceiling(now, plan, job.units) {
+            account.news[0] = account.news[0].max(u8::from(peers.counter));
+            let wait = window_length(plan) * (account.window + 1) as f64 - secs(now);
+            out.defer(job.job, self.job_rules.retry_after.then(|| span(wait)));
+            return;
+        }
+        account.add_own(account.window, job.units);
+        account.untold += job.units;
+        account.ceiling -= job.units;
+        account.out += 1;
+        let slot = job.job as usize;
+        if slot >= self.jobs.len() {
+            self.jobs.resize_with(slot + 1, || None);
+        }
+        self.jobs[slot] = Some(OpenJob {
+            job: *job,
+            account: i,
+            target: now + self.categories[job.category].target_time,
+            give_up: now + job.time_left,
+            trips: Vec::new(),
+            window: account.window,
+            done: false,
+            queued: true,
+            ran: None,
+        });
+        self.queue.push(job.job);
+    }
+
+    /// Drains the news into one batch a peer, each told only of the customers it shares, or into one
+    /// counter call a customer.
+    fn sync(&mut self, now: Duration, out: &mut dyn Writer) {
+        let limiters = self.peers.limiters;
+        let mut rows: Vec<Vec<Row>> = vec![Vec::new(); limiters as usize];
+        for account in &mut self.accounts {
+            let plan = &self.plans[account.plan];
+            account.roll(now, plan);
+            account.untold = 0.0;
+            for i in [1, 0] {
+                if account.news[i] == 0 {
+                    continue;
+                }
+                let window = account.window.wrapping_sub(i as u64);
+                if self.peers.counter {
+                    if account.calling.is_none() {
+                        let amount = account.own[i] - account.counted[i];
+                        account.counted[i] = account.own[i];
+                        account.calling = Some((window, account.own[i], amount));
+                        account.news[i] = 0;
+                        let keep = span((window_length(plan) * 3.0).min(60.0));
+                        out.count(account.customer, window, amount, keep);
+                    }
+                    continue;
+                }
+                account.news[i] -= 1;
+                for p in (0..limiters).filter(|&p| p != self.peers.me && account.includes(p, limiters)) {
+                    let (customer, total) = (account.customer, account.own[i]);
+                    rows[p as usize].push(Row { customer, plan: account.plan, window, total, left: None });
+                }
+            }
+        }
+        if self.peers.letters {
+            for p in 0..limiters {
+                if !rows[p as usize].is_empty() {
+                    self.post(now, false, Some(p), &rows[p as usize], out);
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, now: Duration, asks: bool, to: Option<u32>, rows: &[Row], out: &mut dyn Writer) {
+        let life = self.started.unwrap_or(now).as_millis() as u64;
+        let head = Head { life, number: self.letters + 1, asks };
+        for letter in letter::write(head, rows) {
+            self.letters += 1;
+            for p in (0..self.peers.limiters).filter(|&p| p != self.peers.me && to.is_none_or(|to| to == p)) {
+                out.tell(p, &letter);
+            }
+        }
+    }
+
+    /// Malformed, stale and repeated letters change nothing.
+    fn read_letter(&mut self, now: Duration, letter: &Letter, out: &mut dyn Writer) {
+        let Some((head, rows)) = letter::read(&letter.bytes) else { return };
+        let from = letter.from as usize;
+        if from >= self.last_letter.len() || letter.from == self.peers.me {
+            return;
+        }
+        let (life, number) = self.last_letter[from];
+        if (head.life, head.number) <= (life, number) {
+            return;
+        }
+        self.last_letter[from] = (head.life, head.number);
+        if head.life > life {
+            // A peer that started again tells its totals from nothing; what it told before stays counted.
+            for account in &mut self.accounts {
+                account.roll(now, &self.plans[account.plan]);
+                let told = std::mem::take(&mut account.heard[0][from]);
+                account.carried -= told;
+                account.heard[1][from] = 0.0;
+            }
+        }
+        let just_started = self.started.is_none_or(|at| now < at + Duration::from_secs(1));
+        for row in rows {
+            if row.plan >= self.plans.len() || row.total.abs() > 1e9 {
+                continue;
+            }
+            let i = self.account(now, row.customer, row.plan);
+            let (account, plan) = (&mut self.accounts[i], &self.plans[row.plan]);
+            if account.plan != row.plan {
+                continue;
+            }
+            // Settled units may leave a store below nothing, by one large job at most.
+            let floor = if self.peers.settles { self.peers.most_units } else { 0.0 };
+            match row.left {
+                None => account.hear(now, plan, from, row.window, row.total, floor),
+                Some(left) if just_started => {
+                    account.roll(now, plan);
+                    if let Some(i) = account.place(row.window) {
+                        account.heard[i][from] = row.total;
+                    }
+                    account.spilled += (account.left(now, plan) - left).max(0.0);
+                }
+                Some(_) => {}
+            }
+        }
+        if head.asks {
+            self.show_view(now, letter.from, out);
+        }
+    }
+
+    /// Departure for restarts: a limiter that starts asks its peers what is left of each quota, as its
+    /// own count of the window is gone. Guards also against lost windows after a long cut.
+    fn show_view(&mut self, now: Duration, to: u32, out: &mut dyn Writer) {
+        let mut rows = Vec::new();
+        for account in &mut self.accounts {
+            let plan = &self.plans[account.plan];
+            account.roll(now, plan);
+            let left = account.left(now, plan);
+            if plan.rate > 0.0 && left < plan.burst - 0.5 && account.includes(to, self.peers.limiters) {
+                let (customer, total) = (account.customer, account.own[0]);
+                let window = account.window;
+                rows.push(Row { customer, plan: account.plan, window, total, left: Some(left) });
+            }
+        }
+        if !rows.is_empty() {
+            self.post(now, false, Some(to), &rows, out);
+        }
+    }
+
+    /// An unanswered add counts as made; one that surely was not made is due again.
+    fn read_count(&mut self, now: Duration, answer: &CountAnswer) {
+        let Some(&i) = self.by_customer.get(&answer.customer) else { return };
+        let account = &mut self.accounts[i];
+        let Some((window, own, amount)) = account.calling.filter(|call| call.0 == answer.window) else {
+            return;
+        };
+        account.calling = None;
+        account.roll(now, &self.plans[account.plan]);
+        match (answer.total, account.place(window)) {
+            (Some(total), _) => {
+                let (floor, me) = (self.peers.most_units, self.peers.me as usize);
+                account.hear(now, &self.plans[account.plan], me, window, total - own, floor);
+            }
+            (None, Some(i)) if answer.not_added => {
+                account.counted[i] -= amount;
+                account.news[i] = 1;
+            }
+            _ => {}
+        }
+    }
+
+    // ---- Servers ----
+
+    fn follow(&mut self, now: Duration, roster: &Roster, out: &mut dyn Writer) {
+        if roster.unavailable {
+            // Half a second between calls spares a roster that is pressed.
+            if now >= self.roster_at + Duration::from_millis(500) {
+                self.roster_at = now;
+                out.follow_roster(true);
+            }
+            return;
+        }
+        if roster.whole {
+            self.servers.iter_mut().flatten().for_each(|server| server.listed = false);
+        }
+        for entry in &roster.entries {
+            let i = entry.server as usize;
+            if i >= self.servers.len() {
+                self.servers.resize_with(i + 1, || None);
+            }
+            let known = self.servers[i].is_some();
+            let server = self.servers[i].get_or_insert_with(|| Server::new(*entry, &self.server_rules));
+            let restarted = entry.up_since.is_some() && entry.up_since != server.entry.up_since || !known;
+            server.entry = *entry;
+            server.listed = entry.standing == Standing::Up;
+            if let Some(since) = entry.up_since.filter(|_| restarted) {
+                // Told of a start after it was seen to come back: the earlier start holds.
+                server.cold_since = Some(server.cold_since.map_or(since, |seen| seen.max(since)));
+                server.credits = server.credits.min(4.0);
+            }
+        }
+    }
+
+    /// The server for a trip: credit left there, and the least work in hand for its pace.
+    fn choose(&mut self, now: Duration, job: u32) -> Option<u32> {
+        let open = self.jobs[job as usize].as_ref()?;
+        let category = &self.categories[open.job.category];
+        let rules = &self.server_rules;
+        let warm: Vec<f64> = self
+            .servers
+            .iter_mut()
+            .flatten()
+            .filter(|s| s.listed && s.cold_since.is_none())
+            .map(|s| s.sends.sum(now))
+            .collect();
+        let warm_sends = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
+        let origin = open.ran.and_then(|(server, _)| self.servers[server as usize].as_ref()).map(|s| s.entry);
+        let mut best: Option<(f64, u32)> = None;
+        for (i, server) in self.servers.iter_mut().enumerate() {
+            let Some(server) = server else { continue };
+            if !server.listed || now < server.benched_until || server.silent(now, self.usual) {
+                continue;
+            }
+            if let (Some(origin), Repeats::Referenced(group, _)) = (origin, category.repeats)
+                && (group == Group::Zone && origin.zone != server.entry.zone
+                    || group == Group::Cell && origin.cell != server.entry.cell)
+            {
+                continue;
+            }
+            let tried = open.trips.iter().filter(|trip| trip.server == i as u32).count();
+            if open.trips.iter().any(|trip| trip.out && trip.server == i as u32) {
+                continue;
+            }
+            let warmth = server.warmth(now, rules);
+            if warmth >= 1.0 {
+                server.cold_since = None;
+            }
+            let trial = server.strikes > 0 || server.errors > 0.3;
+            let credits = if trial { 1.0 } else { (server.credits * warmth).max(1.0) };
+            if f64::from(server.out) + 1.0 > credits {
+                continue;
+            }
+            // Every limiter sends a cold server its warm share times the warmth, far inside the
+            // multiple that all together may send; one trip a window is always within it.
+            if warmth < 1.0 && server.sends.sum(now) + 1.0 > (warm_sends * warmth).max(1.0) {
+                continue;
+            }
+            let took = if server.took > 0.0 { server.took } else { self.usual };
+            let far = if server.entry.zone == rules.zone { 1.0 } else { 1.02 };
+            let luck = 1.0 + 0.05 * self.chance.generate::<f64>();
+            let doubt = (1.0 - server.errors).max(0.05).powi(4);
+            let cost = took * f64::from(server.out + 1) * far * luck * (1 + tried) as f64 / doubt;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, i as u32));
+            }
+        }
+        best.map(|(_, server)| server)
+    }
+
+    /// Takes trips back from servers that fell silent, where the job may be sent again.
+    fn watch(&mut self, now: Duration, out: &mut dyn Writer) {
+        if !self.job_rules.may_revoke {
+            return;
+        }
+        let usual = self.usual;
+        let silent = |s: &Option<Server>| s.as_ref().is_some_and(|s| s.silent(now, usual));
+        let silent: Vec<bool> = self.servers.iter().map(silent).collect();
+        if !silent.contains(&true) {
+            return;
+        }
+        for open in self.jobs.iter_mut().flatten().filter(|open| !open.done) {
+            let again = match self.categories[open.job.category].repeats {
+                Repeats::Replayable => true,
+                Repeats::Referenced(_, memory) => open.trips.iter().all(|t| now < t.sent + memory / 2),
+                Repeats::SingleUse => false,
+            };
+            let most = self.job_rules.most_trips as usize;
+            if !again || open.trips.len() >= most || now >= open.target {
+                continue;
+            }
+            for (n, trip) in open.trips.iter_mut().enumerate() {
+                if trip.out && !trip.revoked && silent[trip.server as usize] {
+                    trip.revoked = true;
+                    out.revoke(open.job.job, n as u32);
+                }
+            }
+        }
+    }
+
+    // ---- Jobs ----
+
+    fn end_trip(&mut self, now: Duration, end: &TripEnd, out: &mut dyn Writer) {
+        let took = secs(end.took);
+        let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
+        let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
+        trip.out = false;
+        let (sent, target) = (trip.sent, secs(self.categories[open.job.category].target_time));
+        if let Some(server) = self.servers.get_mut(end.server as usize).and_then(|s| s.as_mut()) {
+            server.out = server.out.saturating_sub(1);
+            if !matches!(end.ending, Ending::Revoked | Ending::Expired | Ending::Unsent) {
+                server.owing_since = now;
+            }
+            match end.ending {
+                Ending::Fulfilled => {
+                    server.took += (took - server.took) * if server.took > 0.0 { 0.1 } else { 1.0 };
+                    self.usual += (took - self.usual) * 0.02;
+                    server.errors *= 0.9;
+                    server.strikes = 0;
+                    if std::mem::take(&mut server.down) {
+                        server.cold_since = Some(now);
+                    }
+                    // Credits shrink when answers use up half the target time, and grow when all are used.
+                    if took > target * 0.5 && now >= server.cut_at {
+                        server.credits = (server.credits * 0.8).max(1.0);
+                        server.cut_at = now + span(took);
+                    } else if f64::from(server.out) + 2.0 > server.credits && took < target * 0.3 {
+                        server.credits = (server.credits + 0.5 / server.credits).min(32.0);
+                    }
+                }
+                Ending::Error => {
+                    server.errors += (1.0 - server.errors) * 0.1;
+                    if server.errors > 0.3 {
+                        server.strike(now);
+                    }
+                }
+                Ending::TurnedAway => {
+                    server.credits = (server.credits * 0.7).max(1.0);
+                    server.benched_until = server.benched_until.max(now + Duration::from_millis(100));
+                }
+                Ending::NoConnection | Ending::Dropped => {
+                    server.down = true;
+                    server.strike(now);
+                }
+                Ending::Expired | Ending::Revoked
+                    if took > self.usual * 4.0 && (server.out == 0 || server.silent(now, self.usual)) =>
+                {
+                    server.strike(now);
+                }
+                _ => {}
+            }
+        }
+        if !end.ending.never_ran() && open.ran.is_none() {
+            open.ran = Some((end.server, sent));
+        }
+        if let Some(units) = end.units.filter(|_| self.peers.settles) {
+            let account = &mut self.accounts[open.account];
+            account.roll(now, &self.plans[account.plan]);
+            account.add_own(open.window, units - open.job.units);
+        }
+        let finished = end.finished && !open.done;
+        open.done |= end.finished;
+        let still_out = open.trips.iter().any(|trip| trip.out);
+        if finished {
+            let account = &mut self.accounts[open.account];
+            account.out = account.out.saturating_sub(1);
+            for (n, trip) in open.trips.iter().enumerate() {
+                if trip.out && self.job_rules.may_revoke {
+                    out.revoke(end.job, n as u32);
+                }
+            }
+        }
+        if open.done {
+            if !still_out {
+                self.jobs[end.job as usize] = None;
+            }
+        } else if !still_out && !open.queued {
+            if self.may_send_again(now, end.job) {
+                if let Some(open) = self.jobs[end.job as usize].as_mut() {
+                    open.queued = true;
+                }
+                self.queue.push(end.job);
+            } else {
+                self.give_up(now, end.job, out);
+            }
+        }
+    }
+
+    fn may_send_again(&self, now: Duration, job: u32) -> bool {
+        let Some(open) = self.jobs[job as usize].as_ref() else { return false };
+        let category = &self.categories[open.job.category];
+        let in_time = now < open.target || category.late_gain > 0.0 && now < open.give_up;
+        let rule = match (category.repeats, open.ran) {
+            (_, None) | (Repeats::Replayable, _) => true,
+            (Repeats::Referenced(_, memory), Some((_, sent))) => now < sent + memory,
+            (Repeats::SingleUse, Some(_)) => false,
+        };
+        rule && in_time && open.trips.len() < self.job_rules.most_trips as usize
+    }
+
+    /// The final answer of a job that is given up, at once: a deferral where that is harmless.
+    fn give_up(&mut self, now: Duration, job: u32, out: &mut dyn Writer) {
+        let Some(open) = self.jobs[job as usize].as_mut().filter(|open| !open.done) else { return };
+        open.done = true;
+        let harmless = match (self.categories[open.job.category].repeats, open.ran) {
+            (_, None) | (Repeats::Replayable, _) | (Repeats::Referenced(Group::All, _), _) => true,
+            (_, Some(_)) => false,
+        };
+        let account = &mut self.accounts[open.account];
+        account.out = account.out.saturating_sub(1);
+        if open.trips.is_empty() {
+            account.roll(now, &self.plans[account.plan]);
+            account.add_own(open.window, -open.job.units);
+            account.ceiling += open.job.units;
+        }
+        if harmless {
+            let plan = &self.plans[account.plan];
+            let wait = window_length(plan) * (account.window + 1) as f64 - secs(now);
+            out.defer(job, self.job_rules.retry_after.then(|| span(wait)));
+        } else {
+            out.scrap(job);
+        }
+        if !open.trips.iter().any(|trip| trip.out) {
+            self.jobs[job as usize] = None;
+        }
+    }
+
+    fn leave(&mut self, job: u32, out: &mut dyn Writer) {
+        let Some(open) = self.jobs.get_mut(job as usize).and_then(|open| open.as_mut()) else { return };
+        if !open.done {
+            open.done = true;
+            let account = &mut self.accounts[open.account];
+            account.out = account.out.saturating_sub(1);
+        }
+        for (n, trip) in open.trips.iter().enumerate() {
+            if trip.out && self.job_rules.may_revoke {
+                out.revoke(job, n as u32);
+            }
+        }
+        if !open.trips.iter().any(|trip| trip.out) {
+            self.jobs[job as usize] = None;
+        }
+    }
+
+    /// Sends what waits to where credit is left, earliest target time first; a job that could not be
+    /// answered by its target time any more is given up at once.
+    fn dispatch(&mut self, now: Duration, out: &mut dyn Writer) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        let target = |limiter: &Limiter, job: u32| {
+            limiter.jobs[job as usize].as_ref().map_or(Duration::ZERO, |open| open.target)
+        };
+        queue.sort_by_key(|&job| target(self, job));
+        for job in queue {
+            let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done) else { continue };
+            let (target, give_up) = (open.target, open.give_up);
+            let hopeless = now + span(self.usual) >= target.min(give_up);
+            if hopeless || !self.may_send_again(now, job) {
+                self.give_up(now, job, out);
+                continue;
+            }
+            let Some(server) = self.choose(now, job) else {
+                self.queue.push(job);
+                continue;
+            };
+            let (Some(open), Some(at)) = (&mut self.jobs[job as usize], &mut self.servers[server as usize])
+            else {
+                continue;
+            };
+            open.queued = false;
+            open.trips.push(Trip { server, sent: now, out: true, revoked: false });
+            if at.out == 0 {
+                at.owing_since = now;
+            }
+            at.out += 1;
+            at.sends.add(now, 1.0);
+            out.send(job, server, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/merlinreel-core/src/letter.rs
@@ -0,0 +1,103 @@
+//! How a batch of window counts stands in a letter between limiters: bytes only, no decisions.
+
+/// A letter holds this many bytes at most.
+pub const MOST_BYTES: usize = 256;
+/// Units travel in steps of an eighth.
+const STEPS: f64 = 8.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Row {
+    pub customer: u64,
+    pub plan: usize,
+    pub window: u64,
+    /// The sender's own units in that window so far.
+    pub total: f64,
+    /// What the sender holds to be left of the customer's quota, where it was asked.
+    pub left: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Head {
+    /// When the sender started, in milliseconds: a later life tells its totals anew.
+    pub life: u64,
+    pub number: u64,
+    /// The sender has just started and asks what is left of the quotas.
+    pub asks: bool,
+}
+
+fn put(bytes: &mut Vec<u8>, mut value: u64) {
+    while value > 0x7f {
+        bytes.push(value as u8 | 0x80);
+        value >>= 7;
+    }
+    bytes.push(value as u8);
+}
+
+fn take(bytes: &mut &[u8]) -> Option<u64> {
+    let mut value = 0u64;
+    for shift in (0..63).step_by(7) {
+        let (&byte, rest) = bytes.split_first()?;
+        *bytes = rest;
+        value |= u64::from(byte & 0x7f) << shift;
+        if byte & 0x80 == 0 {
+            return Some(value);
+        }
+    }
+    None
+}
+
+fn signed(units: f64) -> u64 {
+    let steps = (units * STEPS).round() as i64;
+    ((steps << 1) ^ (steps >> 63)) as u64
+}
+
+fn units(value: u64) -> f64 {
+    ((value >> 1) as i64 ^ -((value & 1) as i64)) as f64 / STEPS
+}
+
+/// Writes rows into as many letters as they need, numbered from the head's number on.
+pub fn write(mut head: Head, rows: &[Row]) -> Vec<Vec<u8>> {
+    let begin = |head: &Head| {
+        let mut bytes = Vec::with_capacity(MOST_BYTES);
+        put(&mut bytes, head.life << 1 | u64::from(head.asks));
+        put(&mut bytes, head.number);
+        bytes
+    };
+    let mut letters = vec![begin(&head)];
+    for row in rows {
+        let mut bytes = Vec::new();
+        put(&mut bytes, row.customer);
+        put(&mut bytes, row.plan as u64);
+        put(&mut bytes, row.window);
+        put(&mut bytes, signed(row.total));
+        put(&mut bytes, row.left.map_or(0, |left| signed(left) + 1));
+        if letters.last().is_some_and(|letter| letter.len() + bytes.len() > MOST_BYTES) {
+            head.number += 1;
+            letters.push(begin(&head));
+        }
+        if let Some(letter) = letters.last_mut() {
+            letter.extend(bytes);
+        }
+    }
+    letters
+}
+
+/// None where the bytes are no whole letter.
+pub fn read(mut bytes: &[u8]) -> Option<(Head, Vec<Row>)> {
+    let first = take(&mut bytes)?;
+    let head = Head { life: first >> 1, asks: first & 1 == 1, number: take(&mut bytes)? };
+    let mut rows = Vec::new();
+    while !bytes.is_empty() {
+        rows.push(Row {
+            customer: take(&mut bytes)?,
+            plan: usize::try_from(take(&mut bytes)?).ok()?,
+            window: take(&mut bytes)?,
+            total: units(take(&mut bytes)?),
+            left: match take(&mut bytes)? {
+                0 => None,
+                left => Some(units(left - 1)),
+            },
+        });
+    }
+    Some((head, rows))
+}
