Bound the estimate that gives jobs up: service comes back, but congested

Cause: slow answers raised the estimate past the target time, so nothing was sent and no faster answer could be seen.

--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -878,7 +878,10 @@
         for job in queue {
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done) else { continue };
             let (target, give_up) = (open.target, open.give_up);
-            let hopeless = now + span(self.usual) >= target.min(give_up);
+            // Guards against giving everything up for good: slow answers must not raise the bar so far
+            // that nothing is sent and no faster answer is ever seen. An eighth of the target time bounds it.
+            let least = secs(self.categories[open.job.category].target_time) / 8.0;
+            let hopeless = now + span(self.usual.min(least)) >= target.min(give_up);
             if hopeless || !self.may_send_again(now, job) {
                 self.give_up(now, job, out);
                 continue;
