--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -221,6 +221,8 @@
     credits: f64,
     out: u32,
     took: f64,
+    /// How much of the target time its answers use.
+    slow: f64,
     errors: f64,
     strikes: u32,
     benched_until: Duration,
@@ -233,14 +235,15 @@
 }
 
 impl Server {
-    fn new(entry: RosterEntry, rules: &ServerRules) -> Server {
+    fn new(entry: RosterEntry, rules: &ServerRules, limiters: u32) -> Server {
         Server {
             entry,
             listed: true,
-            // Starting value: two in work and two waiting, on machines of a few cores.
-            credits: 4.0,
+            // Starting value: eight trips at a server, on machines of a few cores, over all limiters.
+            credits: 8.0 / f64::from(limiters),
             out: 0,
             took: 0.0,
+            slow: 0.0,
             errors: 0.0,
             strikes: 0,
             benched_until: Duration::ZERO,
@@ -259,6 +262,19 @@
         (rules.start_share + (1.0 - rules.start_share) * part).min(1.0)
     }
 
+    /// Credits follow the share of the target time that trips take, whether answered or not: guards
+    /// against queues at the servers, which no limiter sees, and against work that nobody waits for.
+    fn pace(&mut self, now: Duration, took: f64, target: f64, pressed: bool) {
+        self.slow += (took / target - self.slow) * 0.1;
+        // An idle server's answer takes about a sixth; at four tenths the slower answers come late.
+        if self.slow > 0.4 && now >= self.cut_at {
+            self.credits = (self.credits * 0.85).max(0.2);
+            self.cut_at = now + span(took);
+        } else if self.slow < 0.3 && (pressed || f64::from(self.out) + 1.5 > self.credits) {
+            self.credits = (self.credits + 0.5 / self.credits.max(1.0)).min(32.0);
+        }
+    }
+
     /// A symptom that the server is not well: a rest that doubles, then one trip on trial.
     fn strike(&mut self, now: Duration) {
         self.strikes += 1;
@@ -616,20 +632,22 @@
         if roster.whole {
             self.servers.iter_mut().flatten().for_each(|server| server.listed = false);
         }
+        let limiters = self.peers.limiters;
         for entry in &roster.entries {
             let i = entry.server as usize;
             if i >= self.servers.len() {
                 self.servers.resize_with(i + 1, || None);
             }
             let known = self.servers[i].is_some();
-            let server = self.servers[i].get_or_insert_with(|| Server::new(*entry, &self.server_rules));
+            let server =
+                self.servers[i].get_or_insert_with(|| Server::new(*entry, &self.server_rules, limiters));
             let restarted = entry.up_since.is_some() && entry.up_since != server.entry.up_since || !known;
             server.entry = *entry;
             server.listed = entry.standing == Standing::Up;
             if let Some(since) = entry.up_since.filter(|_| restarted) {
                 // Told of a start after it was seen to come back: the earlier start holds.
                 server.cold_since = Some(server.cold_since.map_or(since, |seen| seen.max(since)));
-                server.credits = server.credits.min(4.0);
+                server.credits = server.credits.min(8.0 / f64::from(limiters));
             }
         }
     }
@@ -646,6 +664,16 @@
             .filter(|s| s.listed && s.cold_since.is_none())
             .map(|s| s.sends.sum(now))
             .collect();
+        // Where limiters are many, credits are parts of a trip: all together bound what is out.
+        let usable = |s: &&Server| s.listed && now >= s.benched_until;
+        let (mut credits, mut busy) = (0.0, 0.0);
+        for server in self.servers.iter().flatten().filter(usable) {
+            credits += server.credits * server.warmth(now, rules);
+            busy += f64::from(server.out);
+        }
+        if busy + 1.0 > credits.max(1.0) {
+            return None;
+        }
         let warm_sends = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
         let origin = open.ran.and_then(|(server, _)| self.servers[server as usize].as_ref()).map(|s| s.entry);
         let mut best: Option<(f64, u32)> = None;
@@ -669,7 +697,7 @@
                 server.cold_since = None;
             }
             let trial = server.strikes > 0 || server.errors > 0.3;
-            let credits = if trial { 1.0 } else { (server.credits * warmth).max(1.0) };
+            let credits = if trial { 1.0 } else { (server.credits * warmth).ceil() };
             if f64::from(server.out) + 1.0 > credits {
                 continue;
             }
@@ -723,7 +751,7 @@
     // ---- Jobs ----
 
     fn end_trip(&mut self, now: Duration, end: &TripEnd, out: &mut dyn Writer) {
-        let took = secs(end.took);
+        let (took, pressed) = (secs(end.took), !self.queue.is_empty());
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
@@ -733,6 +761,9 @@
             if !matches!(end.ending, Ending::Revoked | Ending::Expired | Ending::Unsent) {
                 server.owing_since = now;
             }
+            if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
+                server.pace(now, took, target, pressed);
+            }
             match end.ending {
                 Ending::Fulfilled => {
                     server.took += (took - server.took) * if server.took > 0.0 { 0.1 } else { 1.0 };
@@ -742,13 +773,6 @@
                     if std::mem::take(&mut server.down) {
                         server.cold_since = Some(now);
                     }
-                    // Credits shrink when answers use up half the target time, and grow when all are used.
-                    if took > target * 0.5 && now >= server.cut_at {
-                        server.credits = (server.credits * 0.8).max(1.0);
-                        server.cut_at = now + span(took);
-                    } else if f64::from(server.out) + 2.0 > server.credits && took < target * 0.3 {
-                        server.credits = (server.credits + 0.5 / server.credits).min(32.0);
-                    }
                 }
                 Ending::Error => {
                     server.errors += (1.0 - server.errors) * 0.1;
@@ -879,9 +903,9 @@
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done) else { continue };
             let (target, give_up) = (open.target, open.give_up);
             // Guards against giving everything up for good: slow answers must not raise the bar so far
-            // that nothing is sent and no faster answer is ever seen. An eighth of the target time bounds it.
-            let least = secs(self.categories[open.job.category].target_time) / 8.0;
-            let hopeless = now + span(self.usual.min(least)) >= target.min(give_up);
+            // that nothing is sent and no faster answer is ever seen. Half the target time bounds it.
+            let least = secs(self.categories[open.job.category].target_time) / 2.0;
+            let hopeless = now + span((self.usual * 1.5).min(least)) >= target.min(give_up);
             if hopeless || !self.may_send_again(now, job) {
                 self.give_up(now, job, out);
                 continue;
