--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -888,8 +888,9 @@
         }
     }
 
-    /// Sends what waits to where credit is left, earliest target time first; a job that could not be
-    /// answered by its target time any more is given up at once.
+    /// Sends what waits to where credit is left, latest target time first: under pressure the newest
+    /// are answered in time, where the oldest first would make all of them just late. A job that could
+    /// not be answered by its target time any more is given up at once.
     fn dispatch(&mut self, now: Duration, out: &mut dyn Writer) {
         if self.queue.is_empty() {
             return;
@@ -898,7 +899,7 @@
         let target = |limiter: &Limiter, job: u32| {
             limiter.jobs[job as usize].as_ref().map_or(Duration::ZERO, |open| open.target)
         };
-        queue.sort_by_key(|&job| target(self, job));
+        queue.sort_by_key(|&job| std::cmp::Reverse(target(self, job)));
         for job in queue {
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done) else { continue };
             let (target, give_up) = (open.target, open.give_up);
