--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -302,6 +302,7 @@
 struct OpenJob {
     job: Job,
     account: usize,
+    arrived: Duration,
     target: Duration,
     give_up: Duration,
     trips: Vec<Trip>,
@@ -464,6 +465,7 @@
         self.jobs[slot] = Some(OpenJob {
             job: *job,
             account: i,
+            arrived: now,
             target: now + self.categories[job.category].target_time,
             give_up: now + job.time_left,
             trips: Vec::new(),
@@ -888,7 +890,7 @@
         }
     }
 
-    /// Sends what waits to where credit is left, latest target time first: under pressure the newest
+    /// Sends what waits to where credit is left, the last arrived first: under pressure the newest
     /// are answered in time, where the oldest first would make all of them just late. A job that could
     /// not be answered by its target time any more is given up at once.
     fn dispatch(&mut self, now: Duration, out: &mut dyn Writer) {
@@ -896,10 +898,10 @@
             return;
         }
         let mut queue = std::mem::take(&mut self.queue);
-        let target = |limiter: &Limiter, job: u32| {
-            limiter.jobs[job as usize].as_ref().map_or(Duration::ZERO, |open| open.target)
+        let arrived = |limiter: &Limiter, job: u32| {
+            limiter.jobs[job as usize].as_ref().map_or(Duration::ZERO, |open| open.arrived)
         };
-        queue.sort_by_key(|&job| std::cmp::Reverse(target(self, job)));
+        queue.sort_by_key(|&job| std::cmp::Reverse(arrived(self, job)));
         for job in queue {
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done) else { continue };
             let (target, give_up) = (open.target, open.give_up);
