--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -314,6 +314,16 @@
     ran: Option<(u32, Duration)>,
 }
 
+/// How long the client has waited over earlier tries. A time left that is shorter than a first try's
+/// was cut by the outer limit, which then tells it. Guards the quota and the servers against retries
+/// that come too late to earn; harmless where tries differ by themselves, as long as they are not cut.
+fn elapsed(left: Duration, first_left: &mut Duration, outer_limit: Duration) -> Duration {
+    *first_left = left.max(*first_left);
+    // Ten ms are more than any clock's rounding.
+    let cut = left + Duration::from_millis(10) < *first_left;
+    if cut { outer_limit.saturating_sub(left) } else { Duration::ZERO }
+}
+
 pub struct Limiter {
     plans: Vec<Plan>,
     categories: Vec<Category>,
@@ -334,6 +344,8 @@
     /// By limiter: the life and the number of the last letter.
     last_letter: Vec<(u64, u64)>,
     roster_at: Duration,
+    /// By category, the longest time left that a try came with: a first try's.
+    first_left: Vec<Duration>,
 }
 
 impl Limiter {
@@ -349,6 +361,7 @@
             // Until answers are seen, a fifth of the shortest target time.
             usual: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             last_letter: vec![(0, 0); peers.limiters as usize],
+            first_left: vec![Duration::ZERO; categories.len()],
             plans,
             categories,
             peers,
@@ -447,7 +460,12 @@
         }
         (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
         account.roll(now, plan);
-        let admitted = account.admits(now, plan, job.units, peers);
+        let category = &self.categories[job.category];
+        let elapsed = elapsed(job.time_left, &mut self.first_left[job.category], category.outer_limit);
+        // What earns little any more takes units only from a store that is well filled.
+        let late = elapsed >= category.target_time;
+        let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
+        let admitted = worth_it && account.admits(now, plan, job.units, peers);
         if !admitted || !account.under_ceiling(now, plan, job.units) {
             account.news[0] = account.news[0].max(u8::from(peers.counter));
             let wait = window_length(plan) * (account.window + 1) as f64 - secs(now);
@@ -466,7 +484,7 @@
             job: *job,
             account: i,
             arrived: now,
-            target: now + self.categories[job.category].target_time,
+            target: now + category.target_time.saturating_sub(elapsed),
             give_up: now + job.time_left,
             trips: Vec::new(),
             window: account.window,
