--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -314,14 +314,22 @@
     ran: Option<(u32, Duration)>,
 }
 
-/// How long the client has waited over earlier tries. A time left that is shorter than a first try's
-/// was cut by the outer limit, which then tells it. Guards the quota and the servers against retries
-/// that come too late to earn; harmless where tries differ by themselves, as long as they are not cut.
-fn elapsed(left: Duration, first_left: &mut Duration, outer_limit: Duration) -> Duration {
-    *first_left = left.max(*first_left);
-    // Ten ms are more than any clock's rounding.
-    let cut = left + Duration::from_millis(10) < *first_left;
-    if cut { outer_limit.saturating_sub(left) } else { Duration::ZERO }
+/// How long the client has waited over earlier tries. First tries of a category come with one and the
+/// same time left; a rarer one is what the outer limit leaves of a later try, and so tells it. Guards
+/// the quota and the servers against retries that come too late to earn. It could harm where first
+/// tries differ among themselves; then no value is rare enough, or none is common and all count as late.
+fn elapsed(left: Duration, seen: &mut [f64], outer_limit: Duration) -> Duration {
+    let steps = seen.len() - 2;
+    let part = secs(left) / secs(outer_limit).max(0.001);
+    let i = 1 + ((part * steps as f64) as usize).min(steps - 1);
+    let total: f64 = seen.iter().sum();
+    seen[i] += 1.0;
+    // A tenth is less than first tries make up in any storm of retries; 30 tries tell enough.
+    let common = total < 30.0 || seen[i - 1..=i + 1].iter().sum::<f64>() >= 0.1 * total;
+    if total > 2000.0 {
+        seen.iter_mut().for_each(|tries| *tries /= 2.0);
+    }
+    if common { Duration::ZERO } else { outer_limit.saturating_sub(left) }
 }
 
 pub struct Limiter {
@@ -344,8 +352,8 @@
     /// By limiter: the life and the number of the last letter.
     last_letter: Vec<(u64, u64)>,
     roster_at: Duration,
-    /// By category, the longest time left that a try came with: a first try's.
-    first_left: Vec<Duration>,
+    /// By category, how many tries came with which part of the outer limit left.
+    left_seen: Vec<Vec<f64>>,
 }
 
 impl Limiter {
@@ -361,7 +369,8 @@
             // Until answers are seen, a fifth of the shortest target time.
             usual: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             last_letter: vec![(0, 0); peers.limiters as usize],
-            first_left: vec![Duration::ZERO; categories.len()],
+            // Steps of a 128th are finer than retries spread and coarser than the way here varies.
+            left_seen: vec![vec![0.0; 130]; categories.len()],
             plans,
             categories,
             peers,
@@ -461,7 +470,7 @@
         (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
         account.roll(now, plan);
         let category = &self.categories[job.category];
-        let elapsed = elapsed(job.time_left, &mut self.first_left[job.category], category.outer_limit);
+        let elapsed = elapsed(job.time_left, &mut self.left_seen[job.category], category.outer_limit);
         // What earns little any more takes units only from a store that is well filled.
         let late = elapsed >= category.target_time;
         let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
