--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -220,6 +220,8 @@
     /// Most trips that this limiter has out there, and how many are.
     credits: f64,
     out: u32,
+    /// Credits of trips that ended without an answer: the server may still be at work on them.
+    lost: Ring,
     took: f64,
     /// How much of the target time its answers use.
     slow: f64,
@@ -242,6 +244,8 @@
             // Starting value: eight trips at a server, on machines of a few cores, over all limiters.
             credits: 8.0 / f64::from(limiters),
             out: 0,
+            // Two seconds outlast nearly all work of trips that nobody waits for.
+            lost: Ring::new(Duration::from_secs(2)),
             took: 0.0,
             slow: 0.0,
             errors: 0.0,
@@ -696,9 +700,11 @@
         // Where limiters are many, credits are parts of a trip: all together bound what is out.
         let usable = |s: &&Server| s.listed && now >= s.benched_until;
         let (mut credits, mut busy) = (0.0, 0.0);
-        for server in self.servers.iter().flatten().filter(usable) {
-            credits += server.credits * server.warmth(now, rules);
-            busy += f64::from(server.out);
+        for server in self.servers.iter_mut().flatten() {
+            if usable(&&*server) {
+                credits += server.credits * server.warmth(now, rules);
+                busy += f64::from(server.out) + server.lost.sum(now);
+            }
         }
         if busy + 1.0 > credits.max(1.0) {
             return None;
@@ -727,7 +733,8 @@
             }
             let trial = server.strikes > 0 || server.errors > 0.3;
             let credits = if trial { 1.0 } else { (server.credits * warmth).ceil() };
-            if f64::from(server.out) + 1.0 > credits {
+            // A credit comes back with an answer; without one, only once the work must be over.
+            if f64::from(server.out) + server.lost.sum(now) + 1.0 > credits {
                 continue;
             }
             // Every limiter sends a cold server its warm share times the warmth, far inside the
@@ -793,8 +800,13 @@
             if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
                 server.pace(now, took, target, pressed);
             }
+            if matches!(end.ending, Ending::Expired | Ending::Revoked) {
+                server.lost.add(now, 1.0);
+            }
             match end.ending {
                 Ending::Fulfilled => {
+                    // Servers work in turn: what was left before this trip is over as well.
+                    server.lost = Ring::new(Duration::from_secs(2));
                     server.took += (took - server.took) * if server.took > 0.0 { 0.1 } else { 1.0 };
                     self.usual += (took - self.usual) * 0.02;
                     server.errors *= 0.9;
