--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -266,15 +266,15 @@
         (rules.start_share + (1.0 - rules.start_share) * part).min(1.0)
     }
 
-    /// Credits follow the share of the target time that trips take, whether answered or not: guards
+    /// Credits follow how long trips take, whether answered or not, against what is long: guards
     /// against queues at the servers, which no limiter sees, and against work that nobody waits for.
-    fn pace(&mut self, now: Duration, took: f64, target: f64, pressed: bool) {
-        self.slow += (took / target - self.slow) * 0.1;
-        // An idle server's answer takes about a sixth; at four tenths the slower answers come late.
-        if self.slow > 0.4 && now >= self.cut_at {
+    fn pace(&mut self, now: Duration, took: f64, long: f64, pressed: bool) {
+        self.slow += (took / long - self.slow) * 0.1;
+        if self.slow > 1.0 && now >= self.cut_at {
             self.credits = (self.credits * 0.85).max(0.2);
-            self.cut_at = now + span(took);
-        } else if self.slow < 0.3 && (pressed || f64::from(self.out) + 1.5 > self.credits) {
+            // Not again before this cut can show; three long answers are soon enough for that.
+            self.cut_at = now + span(took.min(long));
+        } else if self.slow < 0.75 && (pressed || f64::from(self.out) + 1.5 > self.credits) {
             self.credits = (self.credits + 0.5 / self.credits.max(1.0)).min(32.0);
         }
     }
@@ -301,6 +301,7 @@
     sent: Duration,
     out: bool,
     revoked: bool,
+    alone: bool,
 }
 
 struct OpenJob {
@@ -349,6 +350,8 @@
     jobs: Vec<Option<OpenJob>>,
     queue: Vec<u32>,
     usual: f64,
+    /// What a trip takes where none other of this limiter's is out.
+    calm: f64,
     started: Option<Duration>,
     beat_at: Duration,
     woken_at: Duration,
@@ -372,6 +375,8 @@
         Limiter {
             // Until answers are seen, a fifth of the shortest target time.
             usual: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
+            // As long, until seen: three and a half of them do not bind then.
+            calm: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             last_letter: vec![(0, 0); peers.limiters as usize],
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
             left_seen: vec![vec![0.0; 130]; categories.len()],
@@ -791,6 +796,9 @@
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
+        if trip.alone && end.ending == Ending::Fulfilled {
+            self.calm += (took - self.calm) * 0.02;
+        }
         let (sent, target) = (trip.sent, secs(self.categories[open.job.category].target_time));
         if let Some(server) = self.servers.get_mut(end.server as usize).and_then(|s| s.as_mut()) {
             server.out = server.out.saturating_sub(1);
@@ -798,7 +806,9 @@
                 server.owing_since = now;
             }
             if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
-                server.pace(now, took, target, pressed);
+                // Four tenths of the target time leave room for the slower answers; beyond three and a
+                // half calm ones a server only queues, and some do less the more they hold.
+                server.pace(now, took, (target * 0.4).min(self.calm * 3.5), pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
                 server.lost.add(now, 1.0);
@@ -961,7 +971,7 @@
                 continue;
             };
             open.queued = false;
-            open.trips.push(Trip { server, sent: now, out: true, revoked: false });
+            open.trips.push(Trip { server, sent: now, out: true, revoked: false, alone: at.out == 0 });
             if at.out == 0 {
                 at.owing_since = now;
             }
