--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -361,6 +361,9 @@
     roster_at: Duration,
     /// By category, how many tries came with which part of the outer limit left.
     left_seen: Vec<Vec<f64>>,
+    /// Trips that ended of late, and those of them that their client gave up on.
+    ended: Ring,
+    lapsed: Ring,
 }
 
 impl Limiter {
@@ -379,6 +382,9 @@
             calm: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             last_letter: vec![(0, 0); peers.limiters as usize],
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
+            // Four seconds hold enough trips to judge by and forget a jam soon after it is over.
+            ended: Ring::new(Duration::from_secs(4)),
+            lapsed: Ring::new(Duration::from_secs(4)),
             left_seen: vec![vec![0.0; 130]; categories.len()],
             plans,
             categories,
@@ -482,6 +488,11 @@
         let elapsed = elapsed(job.time_left, &mut self.left_seen[job.category], category.outer_limit);
         // What earns little any more takes units only from a store that is well filled.
         let late = elapsed >= category.target_time;
+        // Guards against storms of retries by clients that give up early: the jobs that come again are
+        // the heavy ones, and the servers go on with work that nobody waits for. Could harm first
+        // retries while servers hang; they are told to come back. A twentieth is rare on calm days.
+        let storm = self.lapsed.sum(now) > 3.0 + 0.05 * self.ended.sum(now);
+        let late = late || storm && (job.again || !elapsed.is_zero());
         let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
         let admitted = worth_it && account.admits(now, plan, job.units, peers);
         if !admitted || !account.under_ceiling(now, plan, job.units) {
@@ -796,6 +807,8 @@
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
+        self.ended.add(now, 1.0);
+        self.lapsed.add(now, f64::from(u8::from(end.ending == Ending::Expired)));
         if trip.alone && end.ending == Ending::Fulfilled {
             self.calm += (took - self.calm) * 0.02;
         }
