--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -242,7 +242,7 @@
             entry,
             listed: true,
             // Starting value: eight trips at a server, on machines of a few cores, over all limiters.
-            credits: 8.0 / f64::from(limiters),
+            credits: 6.0 / f64::from(limiters),
             out: 0,
             // Two seconds outlast nearly all work of trips that nobody waits for.
             lost: Ring::new(Duration::from_secs(2)),
@@ -274,7 +274,7 @@
             self.credits = (self.credits * 0.85).max(0.2);
             // Not again before this cut can show; three long answers are soon enough for that.
             self.cut_at = now + span(took.min(long));
-        } else if self.slow < 0.75 && (pressed || f64::from(self.out) + 1.5 > self.credits) {
+        } else if self.slow < 0.55 && pressed {
             self.credits = (self.credits + 0.5 / self.credits.max(1.0)).min(32.0);
         }
     }
@@ -361,9 +361,6 @@
     roster_at: Duration,
     /// By category, how many tries came with which part of the outer limit left.
     left_seen: Vec<Vec<f64>>,
-    /// Trips that ended of late, and those of them that their client gave up on.
-    ended: Ring,
-    lapsed: Ring,
 }
 
 impl Limiter {
@@ -382,9 +379,6 @@
             calm: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             last_letter: vec![(0, 0); peers.limiters as usize],
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
-            // Four seconds hold enough trips to judge by and forget a jam soon after it is over.
-            ended: Ring::new(Duration::from_secs(4)),
-            lapsed: Ring::new(Duration::from_secs(4)),
             left_seen: vec![vec![0.0; 130]; categories.len()],
             plans,
             categories,
@@ -488,11 +482,6 @@
         let elapsed = elapsed(job.time_left, &mut self.left_seen[job.category], category.outer_limit);
         // What earns little any more takes units only from a store that is well filled.
         let late = elapsed >= category.target_time;
-        // Guards against storms of retries by clients that give up early: the jobs that come again are
-        // the heavy ones, and the servers go on with work that nobody waits for. Could harm first
-        // retries while servers hang; they are told to come back. A twentieth is rare on calm days.
-        let storm = self.lapsed.sum(now) > 3.0 + 0.05 * self.ended.sum(now);
-        let late = late || storm && (job.again || !elapsed.is_zero());
         let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
         let admitted = worth_it && account.admits(now, plan, job.units, peers);
         if !admitted || !account.under_ceiling(now, plan, job.units) {
@@ -696,7 +685,7 @@
             if let Some(since) = entry.up_since.filter(|_| restarted) {
                 // Told of a start after it was seen to come back: the earlier start holds.
                 server.cold_since = Some(server.cold_since.map_or(since, |seen| seen.max(since)));
-                server.credits = server.credits.min(8.0 / f64::from(limiters));
+                server.credits = server.credits.min(6.0 / f64::from(limiters));
             }
         }
     }
@@ -807,8 +796,6 @@
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
-        self.ended.add(now, 1.0);
-        self.lapsed.add(now, f64::from(u8::from(end.ending == Ending::Expired)));
         if trip.alone && end.ending == Ending::Fulfilled {
             self.calm += (took - self.calm) * 0.02;
         }
@@ -821,7 +808,7 @@
             if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
                 // Four tenths of the target time leave room for the slower answers; beyond three and a
                 // half calm ones a server only queues, and some do less the more they hold.
-                server.pace(now, took, (target * 0.4).min(self.calm * 3.5), pressed);
+                server.pace(now, took, (target * 0.4).min(self.calm * 2.5), pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
                 server.lost.add(now, 1.0);
