--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -275,7 +275,7 @@
             // Not again before this cut can show; three long answers are soon enough for that.
             self.cut_at = now + span(took.min(long));
         } else if self.slow < 0.55 && pressed {
-            self.credits = (self.credits + 0.5 / self.credits.max(1.0)).min(32.0);
+            self.credits = (self.credits + 0.1 / self.credits.max(1.0)).min(32.0);
         }
     }
 
