--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -269,7 +269,7 @@
     /// Credits follow how long trips take, whether answered or not, against what is long: guards
     /// against queues at the servers, which no limiter sees, and against work that nobody waits for.
     fn pace(&mut self, now: Duration, took: f64, long: f64, pressed: bool) {
-        self.slow += (took / long - self.slow) * 0.1;
+        self.slow += (took / long - self.slow) * 0.25;
         if self.slow > 1.0 && now >= self.cut_at {
             self.credits = (self.credits * 0.85).max(0.2);
             // Not again before this cut can show; three long answers are soon enough for that.
