--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -139,7 +139,7 @@
 
     /// Index of a window in the pairs; older ones are dropped, as are ones yet to come.
     fn place(&self, window: u64) -> Option<usize> {
-        (0..2).find(|&i| window + i as u64 == self.window)
+        (0..2).find(|&i| self.window.checked_sub(i as u64) == Some(window))
     }
 
     fn add_own(&mut self, window: u64, units: f64) {
@@ -518,10 +518,18 @@
     fn sync(&mut self, now: Duration, out: &mut dyn Writer) {
         let limiters = self.peers.limiters;
         let mut rows: Vec<Vec<Row>> = vec![Vec::new(); limiters as usize];
-        for account in &mut self.accounts {
+        // One letter a peer is what its inbox takes: the emptiest quotas go first, the rest wait.
+        let mut order: Vec<(f64, usize)> = Vec::new();
+        for (i, account) in self.accounts.iter_mut().enumerate() {
             let plan = &self.plans[account.plan];
             account.roll(now, plan);
-            account.untold = 0.0;
+            if account.news != [0, 0] {
+                order.push((account.left(now, plan) / plan.burst.max(1.0), i));
+            }
+        }
+        order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+        for (_, account) in order {
+            let account = &mut self.accounts[account];
             for i in [1, 0] {
                 if account.news[i] == 0 {
                     continue;
@@ -533,15 +541,25 @@
                         account.counted[i] = account.own[i];
                         account.calling = Some((window, account.own[i], amount));
                         account.news[i] = 0;
-                        let keep = span((window_length(plan) * 3.0).min(60.0));
+                        account.untold = 0.0;
+                        let keep = span((window_length(&self.plans[account.plan]) * 3.0).min(60.0));
                         out.count(account.customer, window, amount, keep);
                     }
                     continue;
                 }
-                account.news[i] -= 1;
-                for p in (0..limiters).filter(|&p| p != self.peers.me && account.includes(p, limiters)) {
-                    let (customer, total) = (account.customer, account.own[i]);
-                    rows[p as usize].push(Row { customer, plan: account.plan, window, total, left: None });
+                let me = self.peers.me;
+                let told = (0..limiters).filter(|&p| p != me && account.includes(p, limiters));
+                let row = Row {
+                    customer: account.customer,
+                    plan: account.plan,
+                    window,
+                    total: account.own[i],
+                    left: None,
+                };
+                if told.clone().all(|p| rows[p as usize].len() < letter::ROWS) {
+                    told.for_each(|p| rows[p as usize].push(row));
+                    account.news[i] -= 1;
+                    account.untold = 0.0;
                 }
             }
         }
@@ -598,11 +616,12 @@
             }
             // Settled units may leave a store below nothing, by one large job at most.
             let floor = if self.peers.settles { self.peers.most_units } else { 0.0 };
+            account.roll(now, plan);
+            let window = account.window.saturating_sub(account.window.wrapping_sub(row.window) & 3);
             match row.left {
-                None => account.hear(now, plan, from, row.window, row.total, floor),
+                None => account.hear(now, plan, from, window, row.total, floor),
                 Some(left) if just_started => {
-                    account.roll(now, plan);
-                    if let Some(i) = account.place(row.window) {
+                    if let Some(i) = account.place(window) {
                         account.heard[i][from] = row.total;
                     }
                     account.spilled += (account.left(now, plan) - left).max(0.0);
--- a/crates/merlinreel-core/src/letter.rs
+++ b/crates/merlinreel-core/src/letter.rs
@@ -9,6 +9,7 @@
 pub struct Row {
     pub customer: u64,
     pub plan: usize,
+    /// The window's number by its last two bits: older ones are of no use to anybody.
     pub window: u64,
     /// The sender's own units in that window so far.
     pub total: f64,
@@ -55,6 +56,9 @@
     ((value >> 1) as i64 ^ -((value & 1) as i64)) as f64 / STEPS
 }
 
+/// Rows without a quota left that surely fit into one letter.
+pub const ROWS: usize = (MOST_BYTES - 12) / 9;
+
 /// Writes rows into as many letters as they need, numbered from the head's number on.
 pub fn write(mut head: Head, rows: &[Row]) -> Vec<Vec<u8>> {
     let begin = |head: &Head| {
@@ -67,10 +71,11 @@
     for row in rows {
         let mut bytes = Vec::new();
         put(&mut bytes, row.customer);
-        put(&mut bytes, row.plan as u64);
-        put(&mut bytes, row.window);
+        put(&mut bytes, (row.plan as u64) << 3 | u64::from(row.left.is_some()) << 2 | row.window & 3);
         put(&mut bytes, signed(row.total));
-        put(&mut bytes, row.left.map_or(0, |left| signed(left) + 1));
+        if let Some(left) = row.left {
+            put(&mut bytes, signed(left));
+        }
         if letters.last().is_some_and(|letter| letter.len() + bytes.len() > MOST_BYTES) {
             head.number += 1;
             letters.push(begin(&head));
@@ -88,15 +93,13 @@
     let head = Head { life: first >> 1, asks: first & 1 == 1, number: take(&mut bytes)? };
     let mut rows = Vec::new();
     while !bytes.is_empty() {
+        let (customer, kind) = (take(&mut bytes)?, take(&mut bytes)?);
         rows.push(Row {
-            customer: take(&mut bytes)?,
-            plan: usize::try_from(take(&mut bytes)?).ok()?,
-            window: take(&mut bytes)?,
+            customer,
+            plan: usize::try_from(kind >> 3).ok()?,
+            window: kind & 3,
             total: units(take(&mut bytes)?),
-            left: match take(&mut bytes)? {
-                0 => None,
-                left => Some(units(left - 1)),
-            },
+            left: if kind & 4 != 0 { Some(units(take(&mut bytes)?)) } else { None },
         });
     }
     Some((head, rows))
