--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -4,80 +4,13 @@
 //! batch between limiters. Docs: `docs/design.md`, `docs/on-call.md`.
 
 use crate::letter::{self, Head, Row};
+use crate::state::{Account, OpenJob, Ring, Server, Trip, secs, span};
 use crate::*;
 use nanorand::{Rng, WyRand};
 use std::collections::HashMap;
 
-fn secs(time: Duration) -> f64 {
-    time.as_secs_f64()
-}
-
-fn span(seconds: f64) -> Duration {
-    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
-}
-
-/// What is measured over time: sums in fixed buckets of time, used again in a ring.
-struct Ring {
-    width: f64,
-    slot: u64,
-    sums: [f64; 8],
-}
-
-impl Ring {
-    fn new(length: Duration) -> Ring {
-        Ring { width: (secs(length) / 8.0).max(0.001), slot: 0, sums: [0.0; 8] }
-    }
-
-    fn turn(&mut self, now: Duration) {
-        let slot = (secs(now) / self.width) as u64;
-        for passed in (self.slot + 1..=slot).rev().take(8) {
-            self.sums[passed as usize % 8] = 0.0;
-        }
-        self.slot = self.slot.max(slot);
-    }
-
-    fn add(&mut self, now: Duration, amount: f64) {
-        self.turn(now);
-        self.sums[self.slot as usize % 8] += amount;
-    }
-
-    fn sum(&mut self, now: Duration) -> f64 {
-        self.turn(now);
-        self.sums.iter().sum()
-    }
-}
-
 // ---- Quotas: one account per customer, counted in clock-aligned windows ----
 
-/// Index 0 of the pairs is the present window, 1 the one before it, which late news still reach.
-#[derive(Default)]
-struct Account {
-    customer: u64,
-    plan: usize,
-    set_size: u32,
-    set_first: u32,
-    window: u64,
-    /// Allowance that the window began with: what the store held then.
-    carried: f64,
-    /// Refill of this window that found the store full.
-    spilled: f64,
-    own: [f64; 2],
-    /// By limiter, what it reported; with a counter all others' units stand in this limiter's place.
-    heard: [Vec<f64>; 2],
-    /// Batches that are still to carry the window's row (with a counter: a call is due).
-    news: [u8; 2],
-    /// Units that the counter was given, and the call it has not answered yet: window, own, amount.
-    counted: [f64; 2],
-    calling: Option<(u64, f64, f64)>,
-    /// Own units admitted since the last batch: peers cannot know of them.
-    untold: f64,
-    /// A new customer's quota is split until then, or until it is reported.
-    split_until: Duration,
-    out: u32,
-    ceiling: f64,
-    ceiling_at: Duration,
-}
-
 /// The window's length starts as the design has it: the store's size over its rate.
 fn window_length(plan: &Plan) -> f64 {
     if plan.rate > 0.0 { (plan.burst / plan.rate).max(0.1) } else { 1.0 }
@@ -214,28 +147,6 @@
 
 // ---- Servers: credits, health, cold starts ----
 
-struct Server {
-    entry: RosterEntry,
-    listed: bool,
-    /// Most trips that this limiter has out there, and how many are.
-    credits: f64,
-    out: u32,
-    /// Credits of trips that ended without an answer: the server may still be at work on them.
-    lost: Ring,
-    took: f64,
-    /// How much of the target time its answers use.
-    slow: f64,
-    errors: f64,
-    strikes: u32,
-    benched_until: Duration,
-    /// Since when it owes an answer and gave none.
-    owing_since: Duration,
-    cold_since: Option<Duration>,
-    down: bool,
-    sends: Ring,
-    cut_at: Duration,
-}
-
 impl Server {
     fn new(entry: RosterEntry, rules: &ServerRules, limiters: u32) -> Server {
         Server {
@@ -294,31 +205,6 @@
     }
 }
 
-// ---- Jobs and trips ----
-
-struct Trip {
-    server: u32,
-    sent: Duration,
-    out: bool,
-    revoked: bool,
-    alone: bool,
-}
-
-struct OpenJob {
-    job: Job,
-    account: usize,
-    arrived: Duration,
-    target: Duration,
-    give_up: Duration,
-    trips: Vec<Trip>,
-    /// The window that its units were charged to.
-    window: u64,
-    done: bool,
-    queued: bool,
-    /// The first trip that may have run: where and when it was sent.
-    ran: Option<(u32, Duration)>,
-}
-
 /// How long the client has waited over earlier tries. First tries of a category come with one and the
 /// same time left; a rarer one is what the outer limit leaves of a later try, and so tells it. Guards
 /// the quota and the servers against retries that come too late to earn. It could harm where first
@@ -361,6 +247,8 @@
     roster_at: Duration,
     /// By category, how many tries came with which part of the outer limit left.
     left_seen: Vec<Vec<f64>>,
+    /// Counter calls that may go out at once.
+    calls: f64,
 }
 
 impl Limiter {
@@ -378,6 +266,8 @@
             // As long, until seen: three and a half of them do not bind then.
             calm: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             last_letter: vec![(0, 0); peers.limiters as usize],
+            // Starting value: a few customers' worth.
+            calls: 8.0,
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
             left_seen: vec![vec![0.0; 130]; categories.len()],
             plans,
@@ -406,8 +296,8 @@
 
     /// Time between two batches: as short as the peers' inboxes surely take, with room for views.
     fn sync_interval(&self) -> Duration {
-        // Counter calls are cheap and answered in a few ms; 20 ms keeps them under one a job.
         if self.peers.counter {
+            // Answers come in a few ms; 20 ms keeps the calls under one a job.
             return Duration::from_millis(20);
         }
         // Three quarters of the inbox for batches, never under 20 ms.
@@ -527,6 +417,7 @@
                 order.push((account.left(now, plan) / plan.burst.max(1.0), i));
             }
         }
+        let mut calls = self.calls;
         order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
         for (_, account) in order {
             let account = &mut self.accounts[account];
@@ -536,7 +427,8 @@
                 }
                 let window = account.window.wrapping_sub(i as u64);
                 if self.peers.counter {
-                    if account.calling.is_none() {
+                    if account.calling.is_none() && calls >= 1.0 {
+                        calls -= 1.0;
                         let amount = account.own[i] - account.counted[i];
                         account.counted[i] = account.own[i];
                         account.calling = Some((window, account.own[i], amount));
@@ -655,6 +547,10 @@
 
     /// An unanswered add counts as made; one that surely was not made is due again.
     fn read_count(&mut self, now: Duration, answer: &CountAnswer) {
+        // Guards against a counter that is full or gone: fewer calls at once until it answers again.
+        // The calls stay within what one answer in twenty earns back of a call turned away.
+        let answered = answer.total.is_some();
+        self.calls = (if answered { self.calls + 0.05 } else { self.calls * 0.8 }).clamp(1.0, 64.0);
         let Some(&i) = self.by_customer.get(&answer.customer) else { return };
         let account = &mut self.accounts[i];
         let Some((window, own, amount)) = account.calling.filter(|call| call.0 == answer.window) else {
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod decide;
 pub mod letter;
+mod state;
 
 /// A tariff: what each of its customers may use, over all limiters together.
 #[derive(Clone, Debug, Default)]
--- /dev/null
+++ b/crates/merlinreel-core/src/state.rs
@@ -0,0 +1,117 @@
+//! The state that the module keeps, and how it is measured over time; nothing is decided here.
+
+use crate::{Job, RosterEntry};
+use std::time::Duration;
+
+pub fn secs(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
+
+pub fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
+
+/// What is measured over time: sums in fixed buckets of time, used again in a ring.
+pub struct Ring {
+    pub width: f64,
+    pub slot: u64,
+    pub sums: [f64; 8],
+}
+
+impl Ring {
+    pub fn new(length: Duration) -> Ring {
+        Ring { width: (secs(length) / 8.0).max(0.001), slot: 0, sums: [0.0; 8] }
+    }
+
+    pub fn turn(&mut self, now: Duration) {
+        let slot = (secs(now) / self.width) as u64;
+        for passed in (self.slot + 1..=slot).rev().take(8) {
+            self.sums[passed as usize % 8] = 0.0;
+        }
+        self.slot = self.slot.max(slot);
+    }
+
+    pub fn add(&mut self, now: Duration, amount: f64) {
+        self.turn(now);
+        self.sums[self.slot as usize % 8] += amount;
+    }
+
+    pub fn sum(&mut self, now: Duration) -> f64 {
+        self.turn(now);
+        self.sums.iter().sum()
+    }
+}
+
+/// What is known of one customer's quota. Index 0 of the pairs is the present window, 1 the one before it, which late news still reach.
+#[derive(Default)]
+pub struct Account {
+    pub customer: u64,
+    pub plan: usize,
+    pub set_size: u32,
+    pub set_first: u32,
+    pub window: u64,
+    /// Allowance that the window began with: what the store held then.
+    pub carried: f64,
+    /// Refill of this window that found the store full.
+    pub spilled: f64,
+    pub own: [f64; 2],
+    /// By limiter, what it reported; with a counter all others' units stand in this limiter's place.
+    pub heard: [Vec<f64>; 2],
+    /// Batches that are still to carry the window's row (with a counter: a call is due).
+    pub news: [u8; 2],
+    /// Units that the counter was given, and the call it has not answered yet: window, own, amount.
+    pub counted: [f64; 2],
+    pub calling: Option<(u64, f64, f64)>,
+    /// Own units admitted since the last batch: peers cannot know of them.
+    pub untold: f64,
+    /// A new customer's quota is split until then, or until it is reported.
+    pub split_until: Duration,
+    pub out: u32,
+    pub ceiling: f64,
+    pub ceiling_at: Duration,
+}
+
+pub struct Server {
+    pub entry: RosterEntry,
+    pub listed: bool,
+    /// Most trips that this limiter has out there, and how many are.
+    pub credits: f64,
+    pub out: u32,
+    /// Credits of trips that ended without an answer: the server may still be at work on them.
+    pub lost: Ring,
+    pub took: f64,
+    /// How much of the target time its answers use.
+    pub slow: f64,
+    pub errors: f64,
+    pub strikes: u32,
+    pub benched_until: Duration,
+    /// Since when it owes an answer and gave none.
+    pub owing_since: Duration,
+    pub cold_since: Option<Duration>,
+    pub down: bool,
+    pub sends: Ring,
+    pub cut_at: Duration,
+}
+
+pub struct Trip {
+    pub server: u32,
+    pub sent: Duration,
+    pub out: bool,
+    pub revoked: bool,
+    pub alone: bool,
+}
+
+pub struct OpenJob {
+    pub job: Job,
+    pub account: usize,
+    pub arrived: Duration,
+    pub target: Duration,
+    pub give_up: Duration,
+    pub trips: Vec<Trip>,
+    /// The window that its units were charged to.
+    pub window: u64,
+    pub done: bool,
+    pub queued: bool,
+    /// The first trip that may have run: where and when it was sent.
+    pub ran: Option<(u32, Duration)>,
+}
