--- a/crates/merlinreel-benchlink/src/host.rs
+++ b/crates/merlinreel-benchlink/src/host.rs
@@ -540,6 +540,7 @@
     fn reply(&mut self) -> String {
         let mut out = String::new();
         self.in_round = false;
+        self.current = None;
         for name in &self.order {
             let Some(instance) = self.instances.get_mut(name) else { continue };
             if !std::mem::take(&mut instance.touched) {
@@ -582,3 +583,6 @@
     };
     Ok(Line { name, entry: RosterEntry { server: 0, zone, cell, standing, weight, up_since } })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -896,3 +896,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -0,0 +1,339 @@
+mod helpers;
+
+use super::*;
+use helpers::*;
+use test_case::test_case;
+
+// ---- Quotas ----
+
+#[test_case(15.0, 3.9, 4.1, 1.2 ; "what is left goes over the edge, with no second allowance")]
+#[test_case(0.0, 1.0, 9.0, 8.0 ; "the store never holds more than its size")]
+fn window_edge(used: f64, used_at: f64, read_at: f64, left: f64) {
+    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    account.own[0] = used;
+    account.roll(at(used_at), &plan());
+    account.roll(at(read_at), &plan());
+    assert!((account.left(at(read_at), &plan()) - left).abs() < 1e-6);
+}
+
+#[test]
+fn even_refill_after_the_edge() {
+    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    account.roll(at(1.0), &plan());
+    account.own[0] = 8.0;
+    account.roll(at(5.0), &plan());
+    assert!((account.left(at(5.0), &plan()) - 8.0).abs() < 1e-6);
+}
+
+#[test_case(0, 3.0, 5.0 ; "a total of this window")]
+#[test_case(9, 3.0, 8.0 ; "a window yet to come is dropped")]
+fn hearing(window: u64, total: f64, left: f64) {
+    let mut account = Account::new(5, 0, &plan(), 3, at(1.0));
+    account.hear(at(1.0), &plan(), 1, window, total, 0.0);
+    account.hear(at(1.0), &plan(), 1, window, total, 0.0);
+    assert!((account.left(at(1.0), &plan()) - left).abs() < 1e-6);
+}
+
+#[test]
+fn late_total_of_the_window_before_still_counts() {
+    let mut account = Account::new(5, 0, &plan(), 3, at(3.9));
+    account.own[0] = 4.0;
+    account.roll(at(4.0), &plan());
+    account.hear(at(4.0), &plan(), 1, 0, 3.0, 0.0);
+    assert!(account.left(at(4.0), &plan()) < 1.3);
+}
+
+#[test]
+fn overshoot_took_nothing_from_the_store() {
+    let mut account = Account::new(5, 0, &plan(), 3, at(1.0));
+    account.hear(at(1.0), &plan(), 1, 0, 12.0, 0.0);
+    assert!(account.left(at(1.0), &plan()).abs() < 1e-6);
+}
+
+#[test_case(0, 0.0, 1.0 => false ; "settled later, in the window first charged")]
+#[test_case(1, 0.0, 1.0 => true ; "settled in the present window")]
+fn settling(window: u64, before: f64, units: f64) -> bool {
+    let mut account = Account::new(5, 0, &plan(), 3, at(5.0));
+    account.own[0] = before;
+    account.add_own(window, units);
+    account.own[0] == before + units
+}
+
+#[test_case(0.0, 8.0, 0.0 => true ; "the first of a new customer")]
+#[test_case(0.0, 8.0, 4.0 => false ; "a new customer is split over its set")]
+#[test_case(1.0, 8.0, 4.0 => true ; "after one interval the whole quota stands")]
+#[test_case(1.0, 0.5, 0.0 => false ; "nothing beyond the quota")]
+fn admitting(after: f64, left: f64, untold: f64) -> bool {
+    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    (account.set_size, account.split_until) = (2, at(0.5));
+    account.carried = left - 2.0 * after;
+    account.untold = untold;
+    account.carried -= untold * f64::from(u8::from(after == 0.0));
+    account.admits(at(after), &plan(), 1.0, peers())
+}
+
+#[test_case(3.0, 0.0 => true ; "an active peer leaves this limiter its share")]
+#[test_case(1.5, 0.0 => false ; "the last unit is nobody's share")]
+#[test_case(3.0, 2.0 => false ; "peers cannot know yet what was taken")]
+fn sharing(left: f64, untold: f64) -> bool {
+    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    account.heard[0][1] = 1.0;
+    account.carried = left + 1.0;
+    account.own[0] = untold;
+    account.untold = untold;
+    account.admits(at(0.0), &plan(), 1.0, peers())
+}
+
+#[test_case(0.2, 1.0 => false ; "a restart finds no ceiling to spend")]
+#[test_case(4.0, 1.0 => true ; "its part fills with time")]
+#[test_case(60.0, 6.0 => false ; "up to its part of the depth")]
+fn ceiling(after: f64, units: f64) -> bool {
+    let plan = Plan { ceiling_rate: 1.0, ceiling_depth: 10.0, ceiling_slack: 1.0, ..plan() };
+    let mut account = Account::new(5, 0, &plan, 3, at(0.0));
+    account.set_size = 2;
+    account.under_ceiling(at(after), &plan, units)
+}
+
+#[test_case(1.4, 0.0 ; "a common time left is a first try's")]
+#[test_case(0.5, 1.5 ; "a rare one was cut by the outer limit")]
+fn time_waited(left: f64, waited: f64) {
+    let mut seen = vec![0.0; 130];
+    (0..50).for_each(|_| _ = elapsed(at(1.4), &mut seen, at(2.0)));
+    assert_eq!(elapsed(at(left), &mut seen, at(2.0)), at(waited));
+}
+
+#[test]
+fn only_the_customers_set_is_told() {
+    let mut limiter = limiter(Repeats::Replayable, peers());
+    account(&mut limiter).add_own(0, 1.0);
+    let mut notes = Notes::default();
+    limiter.sync(at(1.0), &mut notes);
+    let told: Vec<u32> = notes.letters.iter().map(|letter| letter.0).collect();
+    assert_eq!(told, [1]);
+}
+
+#[test]
+fn more_news_than_a_letter_holds_waits() {
+    let mut limiter = limiter(Repeats::Replayable, peers());
+    for customer in 0..60 {
+        let i = limiter.account(at(1.0), customer, 0);
+        limiter.accounts[i].set_size = 2;
+        limiter.accounts[i].add_own(0, 1.0 + customer as f64 / 10.0);
+    }
+    let mut notes = Notes::default();
+    limiter.sync(at(1.0), &mut notes);
+    let rows = letter::read(&notes.letters[0].1).map(|letter| letter.1).unwrap_or_default();
+    assert_eq!((notes.letters.len(), rows[0].customer), (1, 59));
+}
+
+fn row(total: f64, left: Option<f64>) -> Row {
+    Row { customer: 5, plan: 0, window: 0, total, left }
+}
+
+fn letter(life: u64, number: u64, rows: &[Row]) -> Letter {
+    let bytes = letter::write(Head { life, number, asks: false }, rows).remove(0);
+    Letter { from: 1, bytes }
+}
+
+#[test_case(letter(1, 5, &[row(3.0, None)]), 5.0 ; "news")]
+#[test_case(letter(1, 4, &[row(3.0, None)]), 8.0 ; "a repeat or a late one")]
+#[test_case(letter(0, 9, &[row(3.0, None)]), 8.0 ; "one of an earlier life")]
+#[test_case(letter(1, 5, &[Row { plan: 7, ..row(3.0, None) }]), 8.0 ; "an unknown plan")]
+#[test_case(Letter { from: 9, ..letter(1, 5, &[row(3.0, None)]) }, 8.0 ; "an unknown sender")]
+#[test_case(Letter { from: 1, bytes: vec![0x82, 5, 9, 0x80] }, 8.0 ; "half a row")]
+#[test_case(letter(1, 5, &[row(0.0, Some(2.0))]), 2.0 ; "a view, just after the start")]
+fn reading_letters(letter: Letter, left: f64) {
+    let mut limiter = limiter(Repeats::Replayable, peers());
+    limiter.started = Some(at(0.9));
+    limiter.last_letter[1] = (1, 4);
+    account(&mut limiter);
+    limiter.read_letter(at(1.0), &letter, &mut Notes::default());
+    assert!((limiter.accounts[0].left(at(1.0), &plan()) - left).abs() < 1e-6);
+}
+
+#[test]
+fn a_peer_that_starts_is_shown_what_is_left() {
+    let mut limiter = limiter(Repeats::Replayable, peers());
+    account(&mut limiter).add_own(0, 6.0);
+    let mut notes = Notes::default();
+    limiter.show_view(at(1.0), 1, &mut notes);
+    let rows = letter::read(&notes.letters[0].1).map(|letter| letter.1).unwrap_or_default();
+    assert_eq!(rows[0].left, Some(2.0));
+}
+
+#[test_case(Some(9.0), false => (5.0, 2.0, 0) ; "the others' part of the total")]
+#[test_case(None, false => (0.0, 2.0, 0) ; "unanswered counts as made")]
+#[test_case(None, true => (0.0, 0.0, 1) ; "turned away is due again")]
+fn counter_answers(total: Option<f64>, not_added: bool) -> (f64, f64, u8) {
+    let mut limiter = limiter(Repeats::Replayable, Peers { counter: true, ..peers() });
+    let account = account(&mut limiter);
+    (account.own[0], account.counted[0], account.calling) = (4.0, 2.0, Some((0, 4.0, 2.0)));
+    limiter.read_count(at(1.0), &CountAnswer { customer: 5, window: 0, total, not_added });
+    let account = &limiter.accounts[0];
+    (account.heard[0][0], account.counted[0], account.news[0])
+}
+
+#[test]
+fn counter_calls_stay_within_their_budget() {
+    let mut limiter = limiter(Repeats::Replayable, Peers { counter: true, ..peers() });
+    for customer in 0..60 {
+        let i = limiter.account(at(1.0), customer, 0);
+        limiter.accounts[i].add_own(0, 1.0);
+    }
+    let mut notes = Notes::default();
+    limiter.sync(at(1.0), &mut notes);
+    assert_eq!(notes.lines.len(), 8);
+}
+
+// ---- Servers ----
+
+#[test_case(0.02, 2.0 => true ; "quick answers while jobs wait earn credit")]
+#[test_case(1.0, 2.0 => false ; "long ones cost it")]
+fn credits_follow_answers(took: f64, start: f64) -> bool {
+    let mut server = Server::new(entry(0), &server_rules(), 3);
+    server.credits = start;
+    (0..8).for_each(|i| server.pace(at(f64::from(i)), took, 0.2, true));
+    server.credits > start
+}
+
+#[test_case(|_| () => Some(0) ; "the nearer of two that are alike")]
+#[test_case(|s| s.listed = false => Some(1) ; "one that drains or is gone")]
+#[test_case(|s| s.benched_until = at(9.0) => Some(1) ; "one that failed")]
+#[test_case(|s| s.out = 2 => Some(1) ; "no credit left")]
+#[test_case(|s| (s.out, s.owing_since) = (1, at(-1.0)) => Some(1) ; "one that fell silent")]
+#[test_case(|s| (0..2).for_each(|_| s.lost.add(at(2.0), 1.0)) => Some(1) ; "abandoned work in hand")]
+#[test_case(|s| s.errors = 0.2 => Some(1) ; "one that fails fast and so looks idle")]
+fn choosing(trouble: fn(&mut Server)) -> Option<u32> {
+    let mut limiter = with_servers(on_trip(Repeats::Replayable));
+    limiter.servers[1].as_mut().into_iter().for_each(|server| server.took = 0.25);
+    limiter.servers[0].as_mut().into_iter().for_each(|server| server.took = 0.2);
+    limiter.jobs[0].as_mut().into_iter().for_each(|open| open.trips.clear());
+    limiter.servers[0].as_mut().into_iter().for_each(trouble);
+    limiter.choose(at(2.0), 0)
+}
+
+#[test]
+fn a_cold_server_gets_its_share_of_what_warm_ones_get() {
+    let mut limiter = on_trip(Repeats::Replayable);
+    limiter.jobs[0].as_mut().into_iter().for_each(|open| open.trips.clear());
+    if let [Some(cold), Some(warm)] = &mut limiter.servers[..] {
+        (cold.cold_since, cold.out) = (Some(at(1.0)), 0);
+        cold.sends.add(at(2.0), 1.0);
+        warm.sends.add(at(2.0), 3.0);
+        warm.out = 9;
+    }
+    assert_eq!(limiter.choose(at(2.0), 0), None);
+}
+
+#[test_case(Standing::Draining, false => false ; "told that it drains")]
+#[test_case(Standing::Up, true => true ; "a whole list keeps who is on it")]
+fn following(standing: Standing, whole: bool) -> bool {
+    let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
+    let entries = vec![RosterEntry { standing, ..entry(0) }];
+    let roster = Roster { whole, restored: false, unavailable: false, entries };
+    limiter.follow(at(1.0), &roster, &mut Notes::default());
+    let listed = |i: usize| limiter.servers[i].as_ref().is_some_and(|server| server.listed);
+    assert_eq!(listed(1), !whole);
+    listed(0)
+}
+
+#[test]
+fn a_start_told_by_the_roster_makes_a_server_cold() {
+    let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
+    let entries = vec![RosterEntry { up_since: Some(at(20.0)), ..entry(0) }];
+    let roster = Roster { whole: false, restored: false, unavailable: false, entries };
+    limiter.follow(at(21.0), &roster, &mut Notes::default());
+    let warmth = limiter.servers[0].as_ref().map(|s| s.warmth(at(22.0), &server_rules()));
+    assert!(warmth.is_some_and(|warmth| warmth < 0.4));
+}
+
+// ---- Jobs ----
+
+const ZONE: Repeats = Repeats::Referenced(Group::Zone, Duration::from_millis(600));
+
+#[test_case(Repeats::Replayable, Ending::Error, 1.1 => (vec![0], 0) ; "replayable goes again")]
+#[test_case(Repeats::SingleUse, Ending::TurnedAway, 1.1 => (vec![0], 0) ; "single-use that never ran")]
+#[test_case(Repeats::SingleUse, Ending::Dropped, 1.1 => (vec![], 1) ; "single-use that may have run")]
+#[test_case(ZONE, Ending::Dropped, 1.1 => (vec![0], 0) ; "referenced within its memory")]
+#[test_case(ZONE, Ending::Dropped, 1.7 => (vec![], 1) ; "referenced after it")]
+#[test_case(Repeats::Replayable, Ending::Expired, 3.0 => (vec![], 1) ; "nothing after the client's time")]
+fn further_trips(repeats: Repeats, ending: Ending, when: f64) -> (Vec<u32>, usize) {
+    let mut limiter = on_trip(repeats);
+    let mut notes = Notes::default();
+    limiter.end_trip(at(when), &trip_end(ending, false), &mut notes);
+    (limiter.queue, notes.lines.len())
+}
+
+#[test_case(Repeats::Replayable => "defer 0 3.0" ; "harmless to try again")]
+#[test_case(Repeats::SingleUse => "scrap 0" ; "no promise where it may have run")]
+#[test_case(ZONE => "scrap 0" ; "nor outside the group that drops repeats")]
+fn giving_up(repeats: Repeats) -> String {
+    let mut limiter = on_trip(repeats);
+    limiter.jobs[0].as_mut().into_iter().for_each(|open| open.ran = Some((0, at(1.0))));
+    let mut notes = Notes::default();
+    limiter.give_up(at(1.0), 0, &mut notes);
+    notes.lines.remove(0)
+}
+
+#[test]
+fn units_of_a_job_never_sent_are_given_back() {
+    let mut limiter = on_trip(Repeats::SingleUse);
+    limiter.jobs[0].as_mut().into_iter().for_each(|open| open.trips.clear());
+    limiter.give_up(at(1.0), 0, &mut Notes::default());
+    assert_eq!(limiter.accounts[0].own[0], 0.0);
+}
+
+#[test_case(ZONE => Some(0) ; "referenced stays in the zone of its first trip")]
+#[test_case(Repeats::Replayable => Some(1) ; "replayable goes elsewhere")]
+fn where_to_next(repeats: Repeats) -> Option<u32> {
+    let mut limiter = on_trip(repeats);
+    if let Some(open) = &mut limiter.jobs[0] {
+        open.trips[0].out = false;
+        open.ran = Some((0, at(1.0)));
+    }
+    limiter.choose(at(1.1), 0)
+}
+
+#[test_case(Repeats::Replayable => 1 ; "what may go again is taken back")]
+#[test_case(Repeats::SingleUse => 0 ; "single-use waits")]
+fn silent_servers(repeats: Repeats) -> usize {
+    let mut limiter = on_trip(repeats);
+    limiter.jobs[0].as_mut().into_iter().for_each(|open| open.target = at(9.0));
+    let mut notes = Notes::default();
+    limiter.watch(at(4.0), &mut notes);
+    notes.lines.len()
+}
+
+#[test_case(0.1, 2.0, "send 0 to 0" ; "sent where credit is left")]
+#[test_case(0.1, 1.05, "defer 0 3.0" ; "given up at once when its target time cannot be met")]
+#[test_case(9.0, 1.4, "send 0 to 0" ; "slow answers never close the limiter for good")]
+fn dispatching(usual: f64, target: f64, decision: &str) {
+    let mut limiter = on_trip(Repeats::Replayable);
+    (limiter.usual, limiter.queue) = (usual, vec![0]);
+    limiter.servers[0].as_mut().into_iter().for_each(|server| server.out = 0);
+    limiter.servers[1] = None;
+    if let Some(open) = &mut limiter.jobs[0] {
+        (open.target, open.trips) = (at(target), Vec::new());
+    }
+    let mut notes = Notes::default();
+    limiter.dispatch(at(1.0), &mut notes);
+    assert_eq!(notes.lines, [decision]);
+}
+
+#[test]
+fn a_job_beyond_the_quota_is_deferred_at_once() {
+    let mut limiter = limiter(Repeats::Replayable, peers());
+    account(&mut limiter).carried = -5.0;
+    let mut notes = Notes::default();
+    limiter.take(at(1.0), &job(), &mut notes);
+    assert_eq!(notes.lines, ["defer 0 3.0"]);
+}
+
+#[test]
+fn the_answer_settles_the_units() {
+    let mut limiter = on_trip(Repeats::Replayable);
+    limiter.peers.settles = true;
+    let end = TripEnd { units: Some(3.0), ..trip_end(Ending::Fulfilled, true) };
+    limiter.end_trip(at(1.1), &end, &mut Notes::default());
+    assert_eq!(limiter.accounts[0].own[0], 3.0);
+}
