--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -179,10 +179,10 @@
 
     /// Credits follow how long trips take, whether answered or not, against what is long: guards
     /// against queues at the servers, which no limiter sees, and against work that nobody waits for.
-    fn pace(&mut self, now: Duration, took: f64, long: f64, pressed: bool) {
+    fn pace(&mut self, now: Duration, took: f64, long: f64, floor: f64, pressed: bool) {
         self.slow += (took / long - self.slow) * 0.25;
         if self.slow > 1.0 && now >= self.cut_at {
-            self.credits = (self.credits * 0.85).max(0.2);
+            self.credits = (self.credits * 0.85).max(floor);
             // Not again before this cut can show; three long answers are soon enough for that.
             self.cut_at = now + span(took.min(long));
         } else if self.slow < 0.55 && pressed {
@@ -723,7 +723,10 @@
             if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
                 // Four tenths of the target time leave room for the slower answers; beyond three and a
                 // half calm ones a server only queues, and some do less the more they hold.
-                server.pace(now, took, (target * 0.4).min(self.calm * 2.5), pressed);
+                let long = (target * 0.4).min(self.calm * 2.5);
+                // Three at a server over all limiters keep it at work, however long its answers take.
+                let floor = 3.0 / f64::from(self.peers.limiters);
+                server.pace(now, took, long, floor, pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
                 server.lost.add(now, 1.0);
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -192,7 +192,7 @@
 fn credits_follow_answers(took: f64, start: f64) -> bool {
     let mut server = Server::new(entry(0), &server_rules(), 3);
     server.credits = start;
-    (0..8).for_each(|i| server.pace(at(f64::from(i)), took, 0.2, true));
+    (0..8).for_each(|i| server.pace(at(f64::from(i)), took, 0.2, 1.0, true));
     server.credits > start
 }
 
