--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -207,9 +207,9 @@
 
 /// How long the client has waited over earlier tries. First tries of a category come with one and the
 /// same time left; a rarer one is what the outer limit leaves of a later try, and so tells it. Guards
-/// the quota and the servers against retries that come too late to earn. It could harm where first
-/// tries differ among themselves; then no value is rare enough, or none is common and all count as late.
-fn elapsed(left: Duration, seen: &mut [f64], outer_limit: Duration) -> Duration {
+/// the quota and the servers against retries that come too late to earn. It could harm where clients
+/// change their own time-outs: so it forgets fast, and says nothing while few tries are common ones.
+fn elapsed(left: Duration, seen: &mut [f64], firsts: &mut f64, outer_limit: Duration) -> Duration {
     let steps = seen.len() - 2;
     let part = secs(left) / secs(outer_limit).max(0.001);
     let i = 1 + ((part * steps as f64) as usize).min(steps - 1);
@@ -217,10 +217,12 @@
     seen[i] += 1.0;
     // A tenth is less than first tries make up in any storm of retries; 30 tries tell enough.
     let common = total < 30.0 || seen[i - 1..=i + 1].iter().sum::<f64>() >= 0.1 * total;
-    if total > 2000.0 {
+    // 400 tries bring a new common value up within some dozens.
+    if total > 400.0 {
         seen.iter_mut().for_each(|tries| *tries /= 2.0);
     }
-    if common { Duration::ZERO } else { outer_limit.saturating_sub(left) }
+    *firsts += (f64::from(u8::from(common)) - *firsts) * 0.02;
+    if common || *firsts < 0.15 { Duration::ZERO } else { outer_limit.saturating_sub(left) }
 }
 
 pub struct Limiter {
@@ -245,8 +247,8 @@
     /// By limiter: the life and the number of the last letter.
     last_letter: Vec<(u64, u64)>,
     roster_at: Duration,
-    /// By category, how many tries came with which part of the outer limit left.
-    left_seen: Vec<Vec<f64>>,
+    /// By category, how many tries came with which part of the outer limit left, and the common share.
+    left_seen: Vec<(Vec<f64>, f64)>,
     /// Counter calls that may go out at once.
     calls: f64,
 }
@@ -269,7 +271,7 @@
             // Starting value: a few customers' worth.
             calls: 8.0,
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
-            left_seen: vec![vec![0.0; 130]; categories.len()],
+            left_seen: vec![(vec![0.0; 130], 1.0); categories.len()],
             plans,
             categories,
             peers,
@@ -369,7 +371,8 @@
         (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
         account.roll(now, plan);
         let category = &self.categories[job.category];
-        let elapsed = elapsed(job.time_left, &mut self.left_seen[job.category], category.outer_limit);
+        let (seen, firsts) = &mut self.left_seen[job.category];
+        let elapsed = elapsed(job.time_left, seen, firsts, category.outer_limit);
         // What earns little any more takes units only from a store that is well filled.
         let late = elapsed >= category.target_time;
         let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -94,12 +94,21 @@
     account.under_ceiling(at(after), &plan, units)
 }
 
-#[test_case(1.4, 0.0 ; "a common time left is a first try's")]
-#[test_case(0.5, 1.5 ; "a rare one was cut by the outer limit")]
-fn time_waited(left: f64, waited: f64) {
+#[test_case(1.4, 1.0, 0.0 ; "a common time left is a first try's")]
+#[test_case(0.5, 1.0, 1.5 ; "a rare one was cut by the outer limit")]
+#[test_case(0.5, 0.1, 0.0 ; "nothing is known where few are common")]
+fn time_waited(left: f64, firsts: f64, waited: f64) {
     let mut seen = vec![0.0; 130];
-    (0..50).for_each(|_| _ = elapsed(at(1.4), &mut seen, at(2.0)));
-    assert_eq!(elapsed(at(left), &mut seen, at(2.0)), at(waited));
+    seen[90] = 50.0;
+    assert_eq!(elapsed(at(left), &mut seen, &mut firsts.clone(), at(2.0)), at(waited));
+}
+
+#[test]
+fn clients_that_turn_hasty_are_first_tries_again_soon() {
+    let (mut seen, mut firsts) = (vec![0.0; 130], 1.0);
+    seen[90] = 400.0;
+    (0..60).for_each(|_| _ = elapsed(at(0.3), &mut seen, &mut firsts, at(2.0)));
+    assert_eq!(elapsed(at(0.3), &mut seen, &mut firsts, at(2.0)), at(0.0));
 }
 
 #[test]
