--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -17,13 +17,14 @@
 }
 
 impl Account {
-    fn new(customer: u64, plan_index: usize, plan: &Plan, limiters: u32, now: Duration) -> Account {
+    fn new(customer: u64, plan_index: usize, plan: &Plan, peers: Peers, now: Duration) -> Account {
         let window = (secs(now) / window_length(plan)) as u64;
-        let heard = || vec![0.0; limiters as usize];
+        let heard = || vec![0.0; peers.limiters as usize];
         let refill = secs(now) - window as f64 * window_length(plan);
         Account {
             customer,
             plan: plan_index,
+            me: peers.me as usize,
             window,
             carried: plan.burst - plan.rate * refill,
             heard: [heard(), heard()],
@@ -35,8 +36,14 @@
     /// What the quota leaves at this moment: a store counted by windows (see `roll`).
     fn left(&self, now: Duration, plan: &Plan) -> f64 {
         let into = secs(now) - self.window as f64 * window_length(plan);
-        let heard: f64 = self.heard[0].iter().sum();
-        self.carried - self.spilled + plan.rate * into - self.own[0] - heard
+        self.carried - self.spilled + plan.rate * into - self.own[0] - self.others(0)
+    }
+
+    /// What others used: by the counter, whose total stands in this limiter's own place, or by their
+    /// letters, where those tell of more.
+    fn others(&self, i: usize) -> f64 {
+        let told: f64 = self.heard[i].iter().sum();
+        self.heard[i][self.me].max(told - self.heard[i][self.me])
     }
 
     /// Departure from the fixed windows: guards against all limiters opening together at a window's
@@ -60,7 +67,8 @@
             if !next {
                 self.heard[1].fill(0.0);
             }
-            self.news = [0, self.news[0].max(u8::from(used)) * u8::from(next)];
+            self.news = [0, self.news[0] * u8::from(next)];
+            self.due = [false, next && (self.due[0] || used)];
             self.spilled = 0.0;
             self.window = window;
         }
@@ -83,15 +91,16 @@
         self.own[i] += units;
         self.carried -= units * i as f64;
         // Told twice: a lost batch is made good by the next, and totals make repeats harmless.
-        self.news[i] = 2;
+        (self.news[i], self.due[i]) = (2, true);
     }
 
     /// A peer's total of a window. What was admitted past an empty store took nothing from it.
     fn hear(&mut self, now: Duration, plan: &Plan, from: usize, window: u64, total: f64, floor: f64) {
         self.roll(now, plan);
         let Some(i) = self.place(window) else { return };
-        let units = total - self.heard[i][from];
+        let before = self.others(i);
         self.heard[i][from] = total;
+        let units = self.others(i) - before;
         self.carried -= units * i as f64;
         let left = self.left(now, plan);
         if units > 0.0 && left < -floor {
@@ -107,7 +116,7 @@
         }
         let me = peers.me as usize;
         if peers.counter {
-            let others = self.heard[0][me] + self.heard[1][me] > 0.0;
+            let others = self.others(0) + self.others(1) > 0.0;
             return if others { f64::from(self.set_size.max(1)) } else { 1.0 };
         }
         let active = |p: &usize| *p != me && self.heard[0][*p] + self.heard[1][*p] > 0.0;
@@ -251,6 +260,9 @@
     left_seen: Vec<(Vec<f64>, f64)>,
     /// Counter calls that may go out at once.
     calls: f64,
+    /// The counter could not take all calls of late.
+    behind_until: Duration,
+    letters_at: Duration,
 }
 
 impl Limiter {
@@ -270,6 +282,8 @@
             last_letter: vec![(0, 0); peers.limiters as usize],
             // Starting value: a few customers' worth.
             calls: 8.0,
+            behind_until: Duration::ZERO,
+            letters_at: Duration::ZERO,
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
             left_seen: vec![(vec![0.0; 130], 1.0); categories.len()],
             plans,
@@ -297,16 +311,17 @@
     }
 
     /// Time between two batches: as short as the peers' inboxes surely take, with room for views.
-    fn sync_interval(&self) -> Duration {
-        if self.peers.counter {
-            // Answers come in a few ms; 20 ms keeps the calls under one a job.
-            return Duration::from_millis(20);
-        }
+    fn letter_interval(&self) -> Duration {
         // Three quarters of the inbox for batches, never under 20 ms.
         let others = f64::from(self.peers.limiters.saturating_sub(1));
         span((others / (0.75 * self.peers.inbox_per_s.max(1.0))).max(0.02))
     }
 
+    /// Counter answers come in a few ms; 20 ms keeps the calls under one a job.
+    fn sync_interval(&self) -> Duration {
+        if self.peers.counter { Duration::from_millis(20) } else { self.letter_interval() }
+    }
+
     pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
         if self.started.is_none() {
             self.started = Some(now);
@@ -354,7 +369,7 @@
         if let Some(&i) = self.by_customer.get(&customer) {
             return i;
         }
-        let account = Account::new(customer, plan, &self.plans[plan], self.peers.limiters, now);
+        let account = Account::new(customer, plan, &self.plans[plan], self.peers, now);
         self.by_customer.insert(customer, self.accounts.len());
         self.accounts.push(account);
         self.accounts.len() - 1
@@ -378,7 +393,7 @@
         let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
         let admitted = worth_it && account.admits(now, plan, job.units, peers);
         if !admitted || !account.under_ceiling(now, plan, job.units) {
-            account.news[0] = account.news[0].max(u8::from(peers.counter));
+            account.due[0] = true;
             let wait = window_length(plan) * (account.window + 1) as f64 - secs(now);
             out.defer(job.job, self.job_rules.retry_after.then(|| span(wait)));
             return;
@@ -406,64 +421,66 @@
         self.queue.push(job.job);
     }
 
-    /// Drains the news into one batch a peer, each told only of the customers it shares, or into one
-    /// counter call a customer.
+    /// Drains the news: one add a customer where a counter is given, else one batch a peer, each told
+    /// only of the customers it shares. The emptiest quotas go first, the rest wait for the next time.
     fn sync(&mut self, now: Duration, out: &mut dyn Writer) {
-        let limiters = self.peers.limiters;
-        let mut rows: Vec<Vec<Row>> = vec![Vec::new(); limiters as usize];
-        // One letter a peer is what its inbox takes: the emptiest quotas go first, the rest wait.
+        let (limiters, me, counter) = (self.peers.limiters, self.peers.me, self.peers.counter);
         let mut order: Vec<(f64, usize)> = Vec::new();
         for (i, account) in self.accounts.iter_mut().enumerate() {
             let plan = &self.plans[account.plan];
             account.roll(now, plan);
-            if account.news != [0, 0] {
+            if account.news != [0, 0] || counter && account.due != [false, false] {
                 order.push((account.left(now, plan) / plan.burst.max(1.0), i));
             }
         }
-        let mut calls = self.calls;
         order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
-        for (_, account) in order {
+        let mut calls = self.calls;
+        for &(_, account) in order.iter().filter(|_| counter) {
             let account = &mut self.accounts[account];
             for i in [1, 0] {
-                if account.news[i] == 0 {
+                if !account.due[i] || account.calling.is_some() {
                     continue;
                 }
-                let window = account.window.wrapping_sub(i as u64);
-                if self.peers.counter {
-                    if account.calling.is_none() && calls >= 1.0 {
-                        calls -= 1.0;
-                        let amount = account.own[i] - account.counted[i];
-                        account.counted[i] = account.own[i];
-                        account.calling = Some((window, account.own[i], amount));
-                        account.news[i] = 0;
-                        account.untold = 0.0;
-                        let keep = span((window_length(&self.plans[account.plan]) * 3.0).min(60.0));
-                        out.count(account.customer, window, amount, keep);
-                    }
+                if calls < 1.0 {
+                    self.behind_until = now + Duration::from_secs(1);
                     continue;
                 }
-                let me = self.peers.me;
+                calls -= 1.0;
+                let window = account.window.wrapping_sub(i as u64);
+                let amount = account.own[i] - account.counted[i];
+                account.counted[i] = account.own[i];
+                account.calling = Some((window, account.own[i], amount));
+                (account.due[i], account.untold) = (false, 0.0);
+                let keep = span((window_length(&self.plans[account.plan]) * 3.0).min(60.0));
+                out.count(account.customer, window, amount, keep);
+            }
+        }
+        // Departure: letters beside a counter that cannot take all calls. Guards against one that is
+        // crowded, slow or gone; costs little, as letters are small.
+        if !self.peers.letters || now < self.letters_at || counter && now >= self.behind_until {
+            return;
+        }
+        self.letters_at = now + self.letter_interval();
+        let mut rows: Vec<Vec<Row>> = vec![Vec::new(); limiters as usize];
+        for (_, account) in order {
+            let account = &mut self.accounts[account];
+            for i in [1, 0] {
                 let told = (0..limiters).filter(|&p| p != me && account.includes(p, limiters));
-                let row = Row {
-                    customer: account.customer,
-                    plan: account.plan,
-                    window,
-                    total: account.own[i],
-                    left: None,
-                };
-                if told.clone().all(|p| rows[p as usize].len() < letter::ROWS) {
-                    told.for_each(|p| rows[p as usize].push(row));
+                // One letter a peer is what its inbox takes.
+                let full = told.clone().any(|p| rows[p as usize].len() >= letter::ROWS);
+                if account.news[i] > 0 && !full {
+                    let (customer, plan, total) = (account.customer, account.plan, account.own[i]);
+                    let window = account.window.wrapping_sub(i as u64);
+                    told.for_each(|p| {
+                        rows[p as usize].push(Row { customer, plan, window, total, left: None })
+                    });
                     account.news[i] -= 1;
                     account.untold = 0.0;
                 }
             }
         }
-        if self.peers.letters {
-            for p in 0..limiters {
-                if !rows[p as usize].is_empty() {
-                    self.post(now, false, Some(p), &rows[p as usize], out);
-                }
-            }
+        for p in (0..limiters).filter(|&p| !rows[p as usize].is_empty()) {
+            self.post(now, false, Some(p), &rows[p as usize], out);
         }
     }
 
@@ -568,7 +585,7 @@
             }
             (None, Some(i)) if answer.not_added => {
                 account.counted[i] -= amount;
-                account.news[i] = 1;
+                account.due[i] = true;
             }
             _ => {}
         }
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -9,7 +9,7 @@
 #[test_case(15.0, 3.9, 4.1, 1.2 ; "what is left goes over the edge, with no second allowance")]
 #[test_case(0.0, 1.0, 9.0, 8.0 ; "the store never holds more than its size")]
 fn window_edge(used: f64, used_at: f64, read_at: f64, left: f64) {
-    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
     account.own[0] = used;
     account.roll(at(used_at), &plan());
     account.roll(at(read_at), &plan());
@@ -18,7 +18,7 @@
 
 #[test]
 fn even_refill_after_the_edge() {
-    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
     account.roll(at(1.0), &plan());
     account.own[0] = 8.0;
     account.roll(at(5.0), &plan());
@@ -28,7 +28,7 @@
 #[test_case(0, 3.0, 5.0 ; "a total of this window")]
 #[test_case(9, 3.0, 8.0 ; "a window yet to come is dropped")]
 fn hearing(window: u64, total: f64, left: f64) {
-    let mut account = Account::new(5, 0, &plan(), 3, at(1.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(1.0));
     account.hear(at(1.0), &plan(), 1, window, total, 0.0);
     account.hear(at(1.0), &plan(), 1, window, total, 0.0);
     assert!((account.left(at(1.0), &plan()) - left).abs() < 1e-6);
@@ -36,7 +36,7 @@
 
 #[test]
 fn late_total_of_the_window_before_still_counts() {
-    let mut account = Account::new(5, 0, &plan(), 3, at(3.9));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(3.9));
     account.own[0] = 4.0;
     account.roll(at(4.0), &plan());
     account.hear(at(4.0), &plan(), 1, 0, 3.0, 0.0);
@@ -45,7 +45,7 @@
 
 #[test]
 fn overshoot_took_nothing_from_the_store() {
-    let mut account = Account::new(5, 0, &plan(), 3, at(1.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(1.0));
     account.hear(at(1.0), &plan(), 1, 0, 12.0, 0.0);
     assert!(account.left(at(1.0), &plan()).abs() < 1e-6);
 }
@@ -53,7 +53,7 @@
 #[test_case(0, 0.0, 1.0 => false ; "settled later, in the window first charged")]
 #[test_case(1, 0.0, 1.0 => true ; "settled in the present window")]
 fn settling(window: u64, before: f64, units: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), 3, at(5.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(5.0));
     account.own[0] = before;
     account.add_own(window, units);
     account.own[0] == before + units
@@ -64,7 +64,7 @@
 #[test_case(1.0, 8.0, 4.0 => true ; "after one interval the whole quota stands")]
 #[test_case(1.0, 0.5, 0.0 => false ; "nothing beyond the quota")]
 fn admitting(after: f64, left: f64, untold: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
     (account.set_size, account.split_until) = (2, at(0.5));
     account.carried = left - 2.0 * after;
     account.untold = untold;
@@ -76,7 +76,7 @@
 #[test_case(1.5, 0.0 => false ; "the last unit is nobody's share")]
 #[test_case(3.0, 2.0 => false ; "peers cannot know yet what was taken")]
 fn sharing(left: f64, untold: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), 3, at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
     account.heard[0][1] = 1.0;
     account.carried = left + 1.0;
     account.own[0] = untold;
@@ -89,7 +89,7 @@
 #[test_case(60.0, 6.0 => false ; "up to its part of the depth")]
 fn ceiling(after: f64, units: f64) -> bool {
     let plan = Plan { ceiling_rate: 1.0, ceiling_depth: 10.0, ceiling_slack: 1.0, ..plan() };
-    let mut account = Account::new(5, 0, &plan, 3, at(0.0));
+    let mut account = Account::new(5, 0, &plan, peers(), at(0.0));
     account.set_size = 2;
     account.under_ceiling(at(after), &plan, units)
 }
@@ -179,19 +179,20 @@
     (account.own[0], account.counted[0], account.calling) = (4.0, 2.0, Some((0, 4.0, 2.0)));
     limiter.read_count(at(1.0), &CountAnswer { customer: 5, window: 0, total, not_added });
     let account = &limiter.accounts[0];
-    (account.heard[0][0], account.counted[0], account.news[0])
+    (account.heard[0][0], account.counted[0], u8::from(account.due[0]))
 }
 
 #[test]
-fn counter_calls_stay_within_their_budget() {
+fn letters_tell_what_the_budget_of_counter_calls_leaves() {
     let mut limiter = limiter(Repeats::Replayable, Peers { counter: true, ..peers() });
     for customer in 0..60 {
         let i = limiter.account(at(1.0), customer, 0);
+        limiter.accounts[i].set_size = 2;
         limiter.accounts[i].add_own(0, 1.0);
     }
     let mut notes = Notes::default();
     limiter.sync(at(1.0), &mut notes);
-    assert_eq!(notes.lines.len(), 8);
+    assert_eq!((notes.lines.len(), notes.letters.len()), (8, 1));
 }
 
 // ---- Servers ----
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -47,6 +47,7 @@
 pub struct Account {
     pub customer: u64,
     pub plan: usize,
+    pub me: usize,
     pub set_size: u32,
     pub set_first: u32,
     pub window: u64,
@@ -57,8 +58,9 @@
     pub own: [f64; 2],
     /// By limiter, what it reported; with a counter all others' units stand in this limiter's place.
     pub heard: [Vec<f64>; 2],
-    /// Batches that are still to carry the window's row (with a counter: a call is due).
+    /// Batches that are still to carry the window's row, and whether a counter call is due.
     pub news: [u8; 2],
+    pub due: [bool; 2],
     /// Units that the counter was given, and the call it has not answered yet: window, own, amount.
     pub counted: [f64; 2],
     pub calling: Option<(u64, f64, f64)>,
