--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -684,7 +684,7 @@
             }
             let took = if server.took > 0.0 { server.took } else { self.usual };
             let far = if server.entry.zone == rules.zone { 1.0 } else { 1.02 };
-            let luck = 1.0 + 1.0 * self.chance.generate::<f64>();
+            let luck = 1.0 + 0.05 * self.chance.generate::<f64>();
             let doubt = (1.0 - server.errors).max(0.05).powi(4);
             let cost = took * f64::from(server.out + 1) * far * luck * (1 + tried) as f64 / doubt;
             if best.is_none_or(|(least, _)| cost < least) {
