--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -672,7 +672,13 @@
                 server.cold_since = None;
             }
             let trial = server.strikes > 0 || server.errors > 0.3;
-            let credits = if trial { 1.0 } else { (server.credits * warmth).ceil() };
+            let credits = if trial { 1.0 } else { server.credits * warmth };
+            // A part of a credit is a whole one for part of the time, by turns among the limiters: guards
+            // against all of them sending their one trip to a quick or a fresh server at once. Turns of
+            // half a second outlast most trips; the golden ratio spreads them evenly.
+            let turn = i as f64 * 0.618 + secs(now).div_euclid(0.5) * 0.382;
+            let turn = (turn + f64::from(self.peers.me) / f64::from(self.peers.limiters)).fract();
+            let credits = credits.floor() + f64::from(u8::from(turn < credits.fract()));
             // A credit comes back with an answer; without one, only once the work must be over.
             if f64::from(server.out) + server.lost.sum(now) + 1.0 > credits {
                 continue;
