--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -162,7 +162,7 @@
             entry,
             listed: true,
             // Starting value: eight trips at a server, on machines of a few cores, over all limiters.
-            credits: 6.0 / f64::from(limiters),
+            credits: 4.0 / f64::from(limiters),
             out: 0,
             // Two seconds outlast nearly all work of trips that nobody waits for.
             lost: Ring::new(Duration::from_secs(2)),
@@ -620,7 +620,7 @@
             if let Some(since) = entry.up_since.filter(|_| restarted) {
                 // Told of a start after it was seen to come back: the earlier start holds.
                 server.cold_since = Some(server.cold_since.map_or(since, |seen| seen.max(since)));
-                server.credits = server.credits.min(6.0 / f64::from(limiters));
+                server.credits = server.credits.min(4.0 / f64::from(limiters));
             }
         }
     }
@@ -751,7 +751,7 @@
                 // half calm ones a server only queues, and some do less the more they hold.
                 let long = (target * 0.4).min(self.calm * 2.5);
                 // Three at a server over all limiters keep it at work, however long its answers take.
-                let floor = 3.0 / f64::from(self.peers.limiters);
+                let floor = 2.0 / f64::from(self.peers.limiters);
                 server.pace(now, took, long, floor, pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
