--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -749,9 +749,9 @@
             if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
                 // Four tenths of the target time leave room for the slower answers; beyond three and a
                 // half calm ones a server only queues, and some do less the more they hold.
-                let long = (target * 0.4).min(self.calm * 2.5);
+                let long = (target * 0.4).min(self.calm * 2.0);
                 // Three at a server over all limiters keep it at work, however long its answers take.
-                let floor = 2.0 / f64::from(self.peers.limiters);
+                let floor = 1.0 / f64::from(self.peers.limiters);
                 server.pace(now, took, long, floor, pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
