--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -39,6 +39,14 @@
         self.carried - self.spilled + plan.rate * into - self.own[0] - self.others(0)
     }
 
+    /// The retry-after: to the window's end, or sooner, where the even refill covers the job before.
+    fn opens_in(&self, now: Duration, plan: &Plan, units: f64) -> f64 {
+        let edge = window_length(plan) * (self.window + 1) as f64 - secs(now);
+        // Twice the units, as peers wait for the refill too.
+        let refill = (2.0 * units - self.left(now, plan)) / plan.rate.max(0.001);
+        edge.min(refill.max(0.05))
+    }
+
     /// What others used: by the counter, whose total stands in this limiter's own place, or by their
     /// letters, where those tell of more.
     fn others(&self, i: usize) -> f64 {
@@ -394,7 +402,7 @@
         let admitted = worth_it && account.admits(now, plan, job.units, peers);
         if !admitted || !account.under_ceiling(now, plan, job.units) {
             account.due[0] = true;
-            let wait = window_length(plan) * (account.window + 1) as f64 - secs(now);
+            let wait = account.opens_in(now, plan, job.units);
             out.defer(job.job, self.job_rules.retry_after.then(|| span(wait)));
             return;
         }
@@ -749,9 +757,9 @@
             if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
                 // Four tenths of the target time leave room for the slower answers; beyond three and a
                 // half calm ones a server only queues, and some do less the more they hold.
-                let long = (target * 0.4).min(self.calm * 2.0);
+                let long = (target * 0.4).min(self.calm * 2.5);
                 // Three at a server over all limiters keep it at work, however long its answers take.
-                let floor = 1.0 / f64::from(self.peers.limiters);
+                let floor = 2.0 / f64::from(self.peers.limiters);
                 server.pace(now, took, long, floor, pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
@@ -856,6 +864,7 @@
         }
         if harmless {
             let plan = &self.plans[account.plan];
+            // To the window's end, not the refill: servers that are full need a pause.
             let wait = window_length(plan) * (account.window + 1) as f64 - secs(now);
             out.defer(job, self.job_rules.retry_after.then(|| span(wait)));
         } else {
