--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -178,6 +178,7 @@
             slow: 0.0,
             errors: 0.0,
             strikes: 0,
+            drops: 0,
             benched_until: Duration::ZERO,
             owing_since: Duration::ZERO,
             cold_since: None,
@@ -215,6 +216,11 @@
         self.benched_until = now + span(rest);
     }
 
+    /// Fails far more than the fleet: what all servers share is not this one's doing.
+    fn fails(&self, erring: f64) -> bool {
+        self.errors > 0.3 + erring
+    }
+
     /// Silence longer than any ordinary answer takes guards against hangs and unseen deaths.
     fn silent(&self, now: Duration, usual: f64) -> bool {
         // Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages.
@@ -255,6 +261,8 @@
     jobs: Vec<Option<OpenJob>>,
     queue: Vec<u32>,
     usual: f64,
+    /// Share of trips that fail, over all servers.
+    erring: f64,
     /// What a trip takes where none other of this limiter's is out.
     calm: f64,
     started: Option<Duration>,
@@ -300,6 +308,7 @@
             server_rules,
             job_rules,
             chance: WyRand::new_seed(seed),
+            erring: 0.0,
             accounts: Vec::new(),
             by_customer: HashMap::new(),
             servers: Vec::new(),
@@ -679,7 +688,7 @@
             if warmth >= 1.0 {
                 server.cold_since = None;
             }
-            let trial = server.strikes > 0 || server.errors > 0.3;
+            let trial = server.strikes > 0 || server.fails(self.erring);
             let credits = if trial { 1.0 } else { server.credits * warmth };
             // A part of a credit is a whole one for part of the time, by turns among the limiters: guards
             // against all of them sending their one trip to a quick or a fresh server at once. Turns of
@@ -772,22 +781,27 @@
                     server.took += (took - server.took) * if server.took > 0.0 { 0.1 } else { 1.0 };
                     self.usual += (took - self.usual) * 0.02;
                     server.errors *= 0.9;
-                    server.strikes = 0;
+                    self.erring *= 0.99;
+                    (server.strikes, server.drops) = (0, 0);
                     if std::mem::take(&mut server.down) {
                         server.cold_since = Some(now);
                     }
                 }
-                Ending::Error => {
+                Ending::Error | Ending::Dropped => {
                     server.errors += (1.0 - server.errors) * 0.1;
-                    if server.errors > 0.3 {
+                    self.erring += (1.0 - self.erring) * 0.01;
+                    server.drops += u32::from(end.ending == Ending::Dropped);
+                    // One drop is the link's; three with no answer between them are the server's.
+                    if server.drops >= 3 || server.fails(self.erring) {
                         server.strike(now);
+                        server.down |= server.drops >= 3 && server.strikes >= 2;
                     }
                 }
                 Ending::TurnedAway => {
                     server.credits = (server.credits * 0.7).max(1.0);
                     server.benched_until = server.benched_until.max(now + Duration::from_millis(100));
                 }
-                Ending::NoConnection | Ending::Dropped => {
+                Ending::NoConnection => {
                     server.down = true;
                     server.strike(now);
                 }
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -235,6 +235,20 @@
     assert_eq!(limiter.choose(at(2.0), 0), None);
 }
 
+#[test_case(Ending::Dropped, 0, 0.0 => (0, false) ; "one dropped trip is the link's doing")]
+#[test_case(Ending::Dropped, 2, 0.0 => (1, false) ; "three in a row are the server's")]
+#[test_case(Ending::NoConnection, 0, 0.0 => (1, true) ; "no connection: the process is gone")]
+#[test_case(Ending::Error, 0, 0.4 => (0, false) ; "what all servers share is no server's doing")]
+fn failing(ending: Ending, drops: u32, erring: f64) -> (u32, bool) {
+    let mut limiter = on_trip(Repeats::Replayable);
+    limiter.erring = erring;
+    if let Some(server) = limiter.servers[0].as_mut() {
+        (server.drops, server.errors) = (drops, erring);
+    }
+    limiter.end_trip(at(1.1), &trip_end(ending, false), &mut Notes::default());
+    limiter.servers[0].as_ref().map_or((9, false), |server| (server.strikes, server.down))
+}
+
 #[test]
 fn parts_of_a_credit_go_by_turns() {
     let sends = |me: u32| {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -86,6 +86,8 @@
     pub slow: f64,
     pub errors: f64,
     pub strikes: u32,
+    /// Trips dropped since its last answer.
+    pub drops: u32,
     pub benched_until: Duration,
     /// Since when it owes an answer and gave none.
     pub owing_since: Duration,
