--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -263,8 +263,10 @@
     usual: f64,
     /// Share of trips that fail, over all servers.
     erring: f64,
-    /// What a trip takes where none other of this limiter's is out.
+    /// What answers take while servers are calm, and what tells it.
     calm: f64,
+    answers: Ring,
+    answer_times: Ring,
     started: Option<Duration>,
     beat_at: Duration,
     woken_at: Duration,
@@ -295,6 +297,9 @@
             usual: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
             // As long, until seen: three and a half of them do not bind then.
             calm: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
+            // Half a minute of buckets outlasts most surges.
+            answers: Ring::new(Duration::from_secs(32)),
+            answer_times: Ring::new(Duration::from_secs(32)),
             last_letter: vec![(0, 0); peers.limiters as usize],
             // Starting value: a few customers' worth.
             calls: 8.0,
@@ -754,8 +759,13 @@
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
-        if trip.alone && end.ending == Ending::Fulfilled {
-            self.calm += (took - self.calm) * 0.02;
+        if end.ending == Ending::Fulfilled {
+            self.answers.add(now, 1.0);
+            self.answer_times.add(now, took);
+            // The calmest of the last buckets with enough answers to tell: load raises all of a bucket's.
+            if let Some(least) = self.answer_times.least_mean(&self.answers, 20.0) {
+                self.calm = least;
+            }
         }
         let (sent, target) = (trip.sent, secs(self.categories[open.job.category].target_time));
         if let Some(server) = self.servers.get_mut(end.server as usize).and_then(|s| s.as_mut()) {
@@ -938,7 +948,7 @@
                 continue;
             };
             open.queued = false;
-            open.trips.push(Trip { server, sent: now, out: true, revoked: false, alone: at.out == 0 });
+            open.trips.push(Trip { server, sent: now, out: true, revoked: false });
             if at.out == 0 {
                 at.owing_since = now;
             }
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -36,6 +36,12 @@
         self.sums[self.slot as usize % 8] += amount;
     }
 
+    /// The least mean of any bucket with that many counts.
+    pub fn least_mean(&self, counts: &Ring, enough: f64) -> Option<f64> {
+        let full = self.sums.iter().zip(&counts.sums).filter(|(_, count)| **count >= enough);
+        full.map(|(sum, count)| sum / count).min_by(f64::total_cmp)
+    }
+
     pub fn sum(&mut self, now: Duration) -> f64 {
         self.turn(now);
         self.sums.iter().sum()
@@ -102,7 +108,6 @@
     pub sent: Duration,
     pub out: bool,
     pub revoked: bool,
-    pub alone: bool,
 }
 
 pub struct OpenJob {
