--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -204,7 +204,9 @@
             // Not again before this cut can show; three long answers are soon enough for that.
             self.cut_at = now + span(took.min(long));
         } else if self.slow < 0.55 && pressed {
-            self.credits = (self.credits + 0.1 / self.credits.max(1.0)).min(32.0);
+            // All limiters see the same quick answers: together they add a third of a trip an answer each.
+            let step = floor * 0.15 / (self.credits / floor).max(1.0);
+            self.credits = (self.credits + step).min(32.0);
         }
     }
 
