--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -275,6 +275,8 @@
     letters: u64,
     /// By limiter: the life and the number of the last letter.
     last_letter: Vec<(u64, u64)>,
+    /// The roster must be asked for, and the last call failed or is yet to be made.
+    roster_lost: bool,
     roster_at: Duration,
     /// By category, how many tries came with which part of the outer limit left, and the common share.
     left_seen: Vec<(Vec<f64>, f64)>,
@@ -325,6 +327,7 @@
             beat_at: Duration::ZERO,
             woken_at: Duration::ZERO,
             letters: 0,
+            roster_lost: false,
             roster_at: Duration::ZERO,
         }
     }
@@ -349,16 +352,13 @@
     pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
         if self.started.is_none() {
             self.started = Some(now);
-            if self.server_rules.roster_on_request {
-                out.follow_roster(true);
-                self.roster_at = now;
-            }
+            self.roster_lost = self.server_rules.roster_on_request;
             if self.peers.letters {
                 self.post(now, true, None, &[], out);
             }
         }
         for roster in &round.roster {
-            self.follow(now, roster, out);
+            self.follow(roster);
         }
         for letter in &round.letters {
             self.read_letter(now, letter, out);
@@ -378,6 +378,12 @@
         if now >= self.beat_at {
             self.beat_at = now + self.sync_interval();
             self.sync(now, out);
+            // Half a second between calls spares a roster that is pressed, and is far under what the rule
+            // allows without asking.
+            if self.roster_lost && now >= self.roster_at + Duration::from_millis(500) {
+                self.roster_at = now;
+                out.follow_roster(true);
+            }
             self.watch(now, out);
         }
         self.dispatch(now, out);
@@ -617,13 +623,9 @@
 
     // ---- Servers ----
 
-    fn follow(&mut self, now: Duration, roster: &Roster, out: &mut dyn Writer) {
+    fn follow(&mut self, roster: &Roster) {
+        self.roster_lost = roster.unavailable;
         if roster.unavailable {
-            // Half a second between calls spares a roster that is pressed.
-            if now >= self.roster_at + Duration::from_millis(500) {
-                self.roster_at = now;
-                out.follow_roster(true);
-            }
             return;
         }
         if roster.whole {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -269,18 +269,28 @@
     let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
     let entries = vec![RosterEntry { standing, ..entry(0) }];
     let roster = Roster { whole, restored: false, unavailable: false, entries };
-    limiter.follow(at(1.0), &roster, &mut Notes::default());
+    limiter.follow(&roster);
     let listed = |i: usize| limiter.servers[i].as_ref().is_some_and(|server| server.listed);
     assert_eq!(listed(1), !whole);
     listed(0)
 }
 
+#[test_case(1.0, 1 ; "at once when it was not asked of late")]
+#[test_case(0.2, 0 ; "not again within half a second")]
+fn a_lost_roster_is_asked_for_again(when: f64, calls: usize) {
+    let mut limiter = limiter(Repeats::Replayable, Peers { letters: false, ..peers() });
+    (limiter.started, limiter.roster_lost) = (Some(at(0.0)), true);
+    let mut notes = Notes::default();
+    limiter.round(at(when), &Round::default(), &mut notes);
+    assert_eq!(notes.lines.len(), calls);
+}
+
 #[test]
 fn a_start_told_by_the_roster_makes_a_server_cold() {
     let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
     let entries = vec![RosterEntry { up_since: Some(at(20.0)), ..entry(0) }];
     let roster = Roster { whole: false, restored: false, unavailable: false, entries };
-    limiter.follow(at(21.0), &roster, &mut Notes::default());
+    limiter.follow(&roster);
     let warmth = limiter.servers[0].as_ref().map(|s| s.warmth(at(22.0), &server_rules()));
     assert!(warmth.is_some_and(|warmth| warmth < 0.4));
 }
