--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -344,9 +344,11 @@
         span((others / (0.75 * self.peers.inbox_per_s.max(1.0))).max(0.02))
     }
 
-    /// Counter answers come in a few ms; 20 ms keeps the calls under one a job.
-    fn sync_interval(&self) -> Duration {
-        if self.peers.counter { Duration::from_millis(20) } else { self.letter_interval() }
+    /// Counter answers come in a few ms; 20 ms keeps the calls under one a job. Without a counter a
+    /// tenth of a second is soon enough for what waits, also where letters are rarer.
+    fn beat(&self) -> Duration {
+        let most = Duration::from_millis(if self.peers.counter { 20 } else { 100 });
+        most.min(self.letter_interval())
     }
 
     pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
@@ -376,7 +378,7 @@
             self.leave(job, out);
         }
         if now >= self.beat_at {
-            self.beat_at = now + self.sync_interval();
+            self.beat_at = now + self.beat();
             self.sync(now, out);
             // Half a second between calls spares a roster that is pressed, and is far under what the rule
             // allows without asking.
@@ -406,7 +408,7 @@
     }
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
-        let interval = self.sync_interval();
+        let interval = if self.peers.counter { self.beat() } else { self.letter_interval() };
         let i = self.account(now, job.customer, job.plan);
         let (account, peers) = (&mut self.accounts[i], self.peers);
         let plan = &self.plans[account.plan];
@@ -933,7 +935,9 @@
         };
         queue.sort_by_key(|&job| std::cmp::Reverse(arrived(self, job)));
         for job in queue {
-            let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done) else { continue };
+            let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done && open.queued) else {
+                continue;
+            };
             let (target, give_up) = (open.target, open.give_up);
             // Guards against giving everything up for good: slow answers must not raise the bar so far
             // that nothing is sent and no faster answer is ever seen. Half the target time bounds it.
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -361,13 +361,32 @@
     limiter.servers[0].as_mut().into_iter().for_each(|server| server.out = 0);
     limiter.servers[1] = None;
     if let Some(open) = &mut limiter.jobs[0] {
-        (open.target, open.trips) = (at(target), Vec::new());
+        (open.queued, open.target, open.trips) = (true, at(target), Vec::new());
     }
     let mut notes = Notes::default();
     limiter.dispatch(at(1.0), &mut notes);
     assert_eq!(notes.lines, [decision]);
 }
 
+#[test]
+fn a_job_that_waits_twice_in_the_queue_is_sent_once() {
+    let mut limiter = on_trip(Repeats::SingleUse);
+    limiter.queue = vec![0, 0];
+    if let Some(open) = &mut limiter.jobs[0] {
+        (open.queued, open.target, open.trips) = (true, at(2.0), Vec::new());
+    }
+    let mut notes = Notes::default();
+    limiter.dispatch(at(1.0), &mut notes);
+    assert_eq!(notes.lines.len(), 1);
+}
+
+#[test_case(3 ; "a few limiters")]
+#[test_case(40 ; "many, with rare letters")]
+fn what_waits_is_looked_at_in_time(limiters: u32) {
+    let limiter = limiter(Repeats::Replayable, Peers { limiters, ..peers() });
+    assert!(limiter.beat() <= at(0.1));
+}
+
 #[test_case(-5.0, "defer 0 2.5" ; "until the refill covers it")]
 #[test_case(-20.0, "defer 0 3.0" ; "to the window's end at most")]
 fn a_job_beyond_the_quota_is_deferred_at_once(carried: f64, decision: &str) {
