--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -4,6 +4,7 @@
 //! batch between limiters. Docs: `docs/design.md`, `docs/on-call.md`.
 
 use crate::letter::{self, Head, Row};
+pub use crate::state::Limiter;
 use crate::state::{Account, OpenJob, Ring, Server, Trip, secs, span};
 use crate::*;
 use nanorand::{Rng, WyRand};
@@ -250,43 +251,6 @@
     if common || *firsts < 0.15 { Duration::ZERO } else { outer_limit.saturating_sub(left) }
 }
 
-pub struct Limiter {
-    plans: Vec<Plan>,
-    categories: Vec<Category>,
-    peers: Peers,
-    server_rules: ServerRules,
-    job_rules: JobRules,
-    chance: WyRand,
-    accounts: Vec<Account>,
-    by_customer: HashMap<u64, usize>,
-    servers: Vec<Option<Server>>,
-    jobs: Vec<Option<OpenJob>>,
-    queue: Vec<u32>,
-    usual: f64,
-    /// Share of trips that fail, over all servers.
-    erring: f64,
-    /// What answers take while servers are calm, and what tells it.
-    calm: f64,
-    answers: Ring,
-    answer_times: Ring,
-    started: Option<Duration>,
-    beat_at: Duration,
-    woken_at: Duration,
-    letters: u64,
-    /// By limiter: the life and the number of the last letter.
-    last_letter: Vec<(u64, u64)>,
-    /// The roster must be asked for, and the last call failed or is yet to be made.
-    roster_lost: bool,
-    roster_at: Duration,
-    /// By category, how many tries came with which part of the outer limit left, and the common share.
-    left_seen: Vec<(Vec<f64>, f64)>,
-    /// Counter calls that may go out at once.
-    calls: f64,
-    /// The counter could not take all calls of late.
-    behind_until: Duration,
-    letters_at: Duration,
-}
-
 impl Limiter {
     pub fn new(
         seed: u64,
@@ -318,6 +282,7 @@
             job_rules,
             chance: WyRand::new_seed(seed),
             erring: 0.0,
+            idle: false,
             accounts: Vec::new(),
             by_customer: HashMap::new(),
             servers: Vec::new(),
@@ -423,15 +388,21 @@
         // What earns little any more takes units only from a store that is well filled.
         let late = elapsed >= category.target_time;
         let worth_it = !late || category.late_gain > 0.0 && account.left(now, plan) > plan.burst / 2.0;
-        let admitted = worth_it && account.admits(now, plan, job.units, peers);
+        // Departure: where a plan earns beyond the quota more than it costs, idle servers take such jobs.
+        // They find the store empty and take nothing from it.
+        let beyond = account.left(now, plan) < job.units;
+        let welcome = beyond && plan.beyond_gain > plan.beyond_cost && self.idle;
+        let admitted = worth_it && (welcome || account.admits(now, plan, job.units, peers));
         if !admitted || !account.under_ceiling(now, plan, job.units) {
             account.due[0] = true;
             let wait = account.opens_in(now, plan, job.units);
             out.defer(job.job, self.job_rules.retry_after.then(|| span(wait)));
             return;
         }
-        account.add_own(account.window, job.units);
-        account.untold += job.units;
+        if !welcome {
+            account.add_own(account.window, job.units);
+            account.untold += job.units;
+        }
         account.ceiling -= job.units;
         account.out += 1;
         let slot = job.job as usize;
@@ -445,7 +416,7 @@
             target: now + category.target_time.saturating_sub(elapsed),
             give_up: now + job.time_left,
             trips: Vec::new(),
-            window: account.window,
+            window: (!welcome).then_some(account.window),
             done: false,
             queued: true,
             ran: None,
@@ -674,6 +645,8 @@
                 busy += f64::from(server.out) + server.lost.sum(now);
             }
         }
+        // Half of the credits left are room enough for what comes inside the quotas.
+        self.idle = busy < 0.5 * credits && self.queue.is_empty();
         if busy + 1.0 > credits.max(1.0) {
             return None;
         }
@@ -832,10 +805,10 @@
         if !end.ending.never_ran() && open.ran.is_none() {
             open.ran = Some((end.server, sent));
         }
-        if let Some(units) = end.units.filter(|_| self.peers.settles) {
+        if let (Some(units), Some(window), true) = (end.units, open.window, self.peers.settles) {
             let account = &mut self.accounts[open.account];
             account.roll(now, &self.plans[account.plan]);
-            account.add_own(open.window, units - open.job.units);
+            account.add_own(window, units - open.job.units);
         }
         let finished = end.finished && !open.done;
         open.done |= end.finished;
@@ -889,7 +862,7 @@
         account.out = account.out.saturating_sub(1);
         if open.trips.is_empty() {
             account.roll(now, &self.plans[account.plan]);
-            account.add_own(open.window, -open.job.units);
+            open.window.into_iter().for_each(|window| account.add_own(window, -open.job.units));
             account.ceiling += open.job.units;
         }
         if harmless {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -368,6 +368,19 @@
     assert_eq!(notes.lines, [decision]);
 }
 
+#[test_case(0.3, true => 1 ; "idle servers take what earns beyond the quota")]
+#[test_case(0.3, false => 0 ; "busy ones do not")]
+#[test_case(0.0, true => 0 ; "nor what earns nothing")]
+fn beyond_the_quota(beyond_gain: f64, idle: bool) -> usize {
+    let mut limiter = limiter(Repeats::Replayable, peers());
+    limiter.plans[0].beyond_gain = beyond_gain;
+    limiter.idle = idle;
+    account(&mut limiter).carried = -5.0;
+    limiter.take(at(1.0), &job(), &mut Notes::default());
+    assert_eq!(limiter.accounts[0].own[0], 0.0);
+    limiter.queue.len()
+}
+
 #[test]
 fn a_job_that_waits_twice_in_the_queue_is_sent_once() {
     let mut limiter = on_trip(Repeats::SingleUse);
--- a/crates/merlinreel-core/src/decide/tests/helpers.rs
+++ b/crates/merlinreel-core/src/decide/tests/helpers.rs
@@ -144,7 +144,7 @@
         target: at(1.5),
         give_up: at(3.0),
         trips: vec![trip],
-        window: 0,
+        window: Some(0),
         done: false,
         queued: false,
         ran: None,
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -1,6 +1,8 @@
 //! The state that the module keeps, and how it is measured over time; nothing is decided here.
 
-use crate::{Job, RosterEntry};
+use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules};
+use nanorand::WyRand;
+use std::collections::HashMap;
 use std::time::Duration;
 
 pub fn secs(time: Duration) -> f64 {
@@ -117,10 +119,50 @@
     pub target: Duration,
     pub give_up: Duration,
     pub trips: Vec<Trip>,
-    /// The window that its units were charged to.
-    pub window: u64,
+    /// The window that its units were charged to, if they were.
+    pub window: Option<u64>,
     pub done: bool,
     pub queued: bool,
     /// The first trip that may have run: where and when it was sent.
     pub ran: Option<(u32, Duration)>,
 }
+
+/// One limiter: what it was started with and all that it keeps.
+pub struct Limiter {
+    pub(crate) plans: Vec<Plan>,
+    pub(crate) categories: Vec<Category>,
+    pub(crate) peers: Peers,
+    pub(crate) server_rules: ServerRules,
+    pub(crate) job_rules: JobRules,
+    pub(crate) chance: WyRand,
+    pub(crate) accounts: Vec<Account>,
+    pub(crate) by_customer: HashMap<u64, usize>,
+    pub(crate) servers: Vec<Option<Server>>,
+    pub(crate) jobs: Vec<Option<OpenJob>>,
+    pub(crate) queue: Vec<u32>,
+    pub(crate) usual: f64,
+    /// Share of trips that fail, over all servers.
+    pub(crate) erring: f64,
+    /// Servers had credit to spare at the last choice.
+    pub(crate) idle: bool,
+    /// What answers take while servers are calm, and what tells it.
+    pub(crate) calm: f64,
+    pub(crate) answers: Ring,
+    pub(crate) answer_times: Ring,
+    pub(crate) started: Option<Duration>,
+    pub(crate) beat_at: Duration,
+    pub(crate) woken_at: Duration,
+    pub(crate) letters: u64,
+    /// By limiter: the life and the number of the last letter.
+    pub(crate) last_letter: Vec<(u64, u64)>,
+    /// The roster must be asked for, and the last call failed or is yet to be made.
+    pub(crate) roster_lost: bool,
+    pub(crate) roster_at: Duration,
+    /// By category, how many tries came with which part of the outer limit left, and the common share.
+    pub(crate) left_seen: Vec<(Vec<f64>, f64)>,
+    /// Counter calls that may go out at once.
+    pub(crate) calls: f64,
+    /// The counter could not take all calls of late.
+    pub(crate) behind_until: Duration,
+    pub(crate) letters_at: Duration,
+}
