--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -903,10 +903,17 @@
             return;
         }
         let mut queue = std::mem::take(&mut self.queue);
-        let arrived = |limiter: &Limiter, job: u32| {
-            limiter.jobs[job as usize].as_ref().map_or(Duration::ZERO, |open| open.arrived)
+        // What gains less than half as much for its time, by the target time, goes after: overload then
+        // sheds low gain first, and near equals fare alike.
+        let worth = |open: &OpenJob| {
+            let category = &self.categories[open.job.category];
+            category.gain * self.plans[open.job.plan].price / secs(category.target_time).max(0.001)
         };
-        queue.sort_by_key(|&job| std::cmp::Reverse(arrived(self, job)));
+        let most = queue.iter().flat_map(|&job| &self.jobs[job as usize]).map(worth).fold(0.0, f64::max);
+        queue.sort_by_cached_key(|&job| match &self.jobs[job as usize] {
+            Some(open) => ((most / worth(open).max(1e-9)).log2() as u32, std::cmp::Reverse(open.arrived)),
+            None => (0, std::cmp::Reverse(now)),
+        });
         for job in queue {
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done && open.queued) else {
                 continue;
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -381,6 +381,25 @@
     limiter.queue.len()
 }
 
+#[test_case(1.0, 1.0 => "send 1 to 0" ; "among near equals the newest")]
+#[test_case(4.0, 1.0 => "send 0 to 0" ; "far more gain before the newest")]
+fn who_goes_first(older: f64, newer: f64) -> String {
+    let mut limiter = on_trip(Repeats::Replayable);
+    limiter.plans = [older, newer].map(|price| Plan { price, ..plan() }).to_vec();
+    limiter.servers[0].as_mut().into_iter().for_each(|server| (server.credits, server.out) = (1.0, 0));
+    limiter.servers[1] = None;
+    let second = on_trip(Repeats::Replayable).jobs.remove(0);
+    limiter.jobs.push(second);
+    for (i, open) in limiter.jobs.iter_mut().flatten().enumerate() {
+        (open.queued, open.target, open.trips) = (true, at(2.0), Vec::new());
+        (open.arrived, open.job.job, open.job.plan) = (at(1.0 + i as f64 / 10.0), i as u32, i);
+    }
+    limiter.queue = vec![0, 1];
+    let mut notes = Notes::default();
+    limiter.dispatch(at(1.2), &mut notes);
+    notes.lines.remove(0)
+}
+
 #[test]
 fn a_job_that_waits_twice_in_the_queue_is_sent_once() {
     let mut limiter = on_trip(Repeats::SingleUse);
