--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -66,7 +66,7 @@
             let passed = (window - self.window - 1) as f64;
             self.carried = (self.left(edge, plan) + passed * plan.rate * length).min(plan.burst);
             let next = window == self.window + 1;
-            for pair in [&mut self.own, &mut self.counted] {
+            for pair in [&mut self.own, &mut self.counted, &mut self.tries] {
                 pair[1] = if next { pair[0] } else { 0.0 };
                 pair[0] = 0.0;
             }
@@ -118,21 +118,25 @@
         self.split_until = Duration::ZERO;
     }
 
-    /// Limiters that this quota is split over between two batches: those that used it lately.
-    fn sharers(&self, now: Duration, peers: Peers) -> f64 {
+    /// Limiters that this quota is split over while they are blind to each other: those that used it
+    /// lately, as far as they are likely to take from it in that time. A slow customer's quota is hardly
+    /// split; a busy one's is split over all.
+    fn sharers(&self, now: Duration, plan: &Plan, blind: f64, peers: Peers) -> f64 {
+        let set = f64::from(self.set_size.max(1));
         if now < self.split_until {
-            return f64::from(self.set_size.max(1));
+            return set;
         }
-        let me = peers.me as usize;
-        if peers.counter {
-            let others = self.others(0) + self.others(1) > 0.0;
-            return if others { f64::from(self.set_size.max(1)) } else { 1.0 };
-        }
-        let active = |p: &usize| *p != me && self.heard[0][*p] + self.heard[1][*p] > 0.0;
-        1.0 + (0..self.heard[0].len()).filter(active).count() as f64
+        let active = |p: &usize| *p != self.me && self.heard[0][*p] + self.heard[1][*p] > 0.0;
+        let told = (0..self.heard[0].len()).filter(active).count() as f64;
+        let used = self.others(0) + self.others(1);
+        let others = if peers.counter && used > 0.0 { set - 1.0 } else { told };
+        let seen_for = secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan);
+        let pace = (self.tries.iter().sum::<f64>() * others).max(used) / seen_for.max(0.1);
+        // Twice what is expected of them, as they come in bursts.
+        1.0 + others.min(2.0 * pace * blind)
     }
 
-    fn admits(&self, now: Duration, plan: &Plan, units: f64, peers: Peers) -> bool {
+    fn admits(&self, now: Duration, plan: &Plan, units: f64, blind: f64, peers: Peers) -> bool {
         if plan.most_open > 0 && self.out >= (plan.most_open / self.set_size.max(1)).max(1) {
             return false;
         }
@@ -140,7 +144,7 @@
             return true;
         }
         let left = self.left(now, plan);
-        let share = (left + self.untold) / self.sharers(now, peers);
+        let share = (left + self.untold) / self.sharers(now, plan, blind, peers);
         let first = now < self.split_until && self.untold == 0.0;
         left >= units && (first || self.untold + units <= share)
     }
@@ -373,7 +377,10 @@
     }
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
-        let interval = if self.peers.counter { self.beat() } else { self.letter_interval() };
+        let counted = self.peers.counter && now >= self.behind_until;
+        let interval = if counted { self.beat() } else { self.letter_interval() };
+        // And the way of a letter or a call, some tens of ms.
+        let blind = secs(interval) + 0.03;
         let i = self.account(now, job.customer, job.plan);
         let (account, peers) = (&mut self.accounts[i], self.peers);
         let plan = &self.plans[account.plan];
@@ -382,6 +389,7 @@
         }
         (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
         account.roll(now, plan);
+        account.tries[0] += 1.0;
         let category = &self.categories[job.category];
         let (seen, firsts) = &mut self.left_seen[job.category];
         let elapsed = elapsed(job.time_left, seen, firsts, category.outer_limit);
@@ -392,7 +400,7 @@
         // They find the store empty and take nothing from it.
         let beyond = account.left(now, plan) < job.units;
         let welcome = beyond && plan.beyond_gain > plan.beyond_cost && self.idle;
-        let admitted = worth_it && (welcome || account.admits(now, plan, job.units, peers));
+        let admitted = worth_it && (welcome || account.admits(now, plan, job.units, blind, peers));
         if !admitted || !account.under_ceiling(now, plan, job.units) {
             account.due[0] = true;
             let wait = account.opens_in(now, plan, job.units);
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -69,19 +69,19 @@
     account.carried = left - 2.0 * after;
     account.untold = untold;
     account.carried -= untold * f64::from(u8::from(after == 0.0));
-    account.admits(at(after), &plan(), 1.0, peers())
+    account.admits(at(after), &plan(), 1.0, 0.1, peers())
 }
 
-#[test_case(3.0, 0.0 => true ; "an active peer leaves this limiter its share")]
-#[test_case(1.5, 0.0 => false ; "the last unit is nobody's share")]
-#[test_case(3.0, 2.0 => false ; "peers cannot know yet what was taken")]
-fn sharing(left: f64, untold: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
+#[test_case(3.0, 0.0, 40.0 => true ; "an active peer leaves this limiter its share")]
+#[test_case(1.5, 0.0, 40.0 => false ; "the last unit is nobody's share")]
+#[test_case(3.0, 2.0, 40.0 => false ; "peers cannot know yet what was taken")]
+#[test_case(1.5, 0.0, 0.0 => true ; "a slow customer's quota is hardly split")]
+fn sharing(left: f64, untold: f64, tries: f64) -> bool {
+    let mut account = Account::new(5, 0, &plan(), peers(), at(4.0));
     account.heard[0][1] = 1.0;
     account.carried = left + 1.0;
-    account.own[0] = untold;
-    account.untold = untold;
-    account.admits(at(0.0), &plan(), 1.0, peers())
+    (account.own[0], account.untold, account.tries[0]) = (untold, untold, tries);
+    account.admits(at(4.0), &plan(), 1.0, 0.1, peers())
 }
 
 #[test_case(0.2, 1.0 => false ; "a restart finds no ceiling to spend")]
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -64,6 +64,8 @@
     /// Refill of this window that found the store full.
     pub spilled: f64,
     pub own: [f64; 2],
+    /// Tries that came in here, admitted or not.
+    pub tries: [f64; 2],
     /// By limiter, what it reported; with a counter all others' units stand in this limiter's place.
     pub heard: [Vec<f64>; 2],
     /// Batches that are still to carry the window's row, and whether a counter call is due.
