--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -795,14 +795,8 @@
                     }
                 }
                 Ending::TurnedAway => {
-                    // Full for the moment; three times with no answer between, it drains unannounced or
-                    // its room is taken for longer: guards against servers that look idle as they refuse.
-                    server.credits = (server.credits * 0.7).max(2.0 / f64::from(self.peers.limiters));
+                    server.credits = (server.credits * 0.7).max(1.0);
                     server.benched_until = server.benched_until.max(now + Duration::from_millis(100));
-                    server.drops += 1;
-                    if server.drops >= 3 {
-                        server.strike(now);
-                    }
                 }
                 Ending::NoConnection => {
                     server.down = true;
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -237,8 +237,6 @@
 
 #[test_case(Ending::Dropped, 0, 0.0 => (0, false) ; "one dropped trip is the link's doing")]
 #[test_case(Ending::Dropped, 2, 0.0 => (1, false) ; "three in a row are the server's")]
-#[test_case(Ending::TurnedAway, 0, 0.0 => (0, false) ; "full for the moment")]
-#[test_case(Ending::TurnedAway, 2, 0.0 => (1, false) ; "refusing all: it drains unannounced")]
 #[test_case(Ending::NoConnection, 0, 0.0 => (1, true) ; "no connection: the process is gone")]
 #[test_case(Ending::Error, 0, 0.4 => (0, false) ; "what all servers share is no server's doing")]
 fn failing(ending: Ending, drops: u32, erring: f64) -> (u32, bool) {
