--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -340,6 +340,9 @@
         for end in &round.trip_ends {
             self.end_trip(now, end, out);
         }
+        for &job in &round.streaming {
+            self.answer_begins(now, job);
+        }
         for job in round.jobs.iter().filter(|job| !round.left.contains(&job.job)) {
             self.take(now, job, out);
         }
@@ -858,6 +861,14 @@
         rule && in_time && open.trips.len() < self.job_rules.most_trips as usize
     }
 
+    /// A streamed answer has begun: its server is not silent, however long the rest takes.
+    fn answer_begins(&mut self, now: Duration, job: u32) {
+        let Some(open) = self.jobs.get(job as usize).and_then(|open| open.as_ref()) else { return };
+        for trip in open.trips.iter().filter(|trip| trip.out) {
+            self.servers[trip.server as usize].iter_mut().for_each(|server| server.owing_since = now);
+        }
+    }
+
     /// The final answer of a job that is given up, at once: a deferral where that is harmless.
     fn give_up(&mut self, now: Duration, job: u32, out: &mut dyn Writer) {
         let Some(open) = self.jobs[job as usize].as_mut().filter(|open| !open.done) else { return };
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -342,6 +342,13 @@
     limiter.choose(at(1.1), 0)
 }
 
+#[test]
+fn a_server_that_streams_is_not_silent() {
+    let mut limiter = on_trip(Repeats::Replayable);
+    limiter.answer_begins(at(4.0), 0);
+    assert!(limiter.servers[0].as_ref().is_some_and(|server| !server.silent(at(4.1), 0.1)));
+}
+
 #[test_case(Repeats::Replayable => 1 ; "what may go again is taken back")]
 #[test_case(Repeats::SingleUse => 0 ; "single-use waits")]
 fn silent_servers(repeats: Repeats) -> usize {
