--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -7,8 +7,7 @@
 pub use crate::state::Limiter;
 use crate::state::{Account, OpenJob, Ring, Server, Trip, secs, span};
 use crate::*;
-use nanorand::{Rng, WyRand};
-use std::collections::HashMap;
+use nanorand::Rng;
 
 // ---- Quotas: one account per customer, counted in clock-aligned windows ----
 
@@ -20,7 +19,6 @@
 impl Account {
     fn new(customer: u64, plan_index: usize, plan: &Plan, peers: Peers, now: Duration) -> Account {
         let window = (secs(now) / window_length(plan)) as u64;
-        let heard = || vec![0.0; peers.limiters as usize];
         let refill = secs(now) - window as f64 * window_length(plan);
         Account {
             customer,
@@ -28,7 +26,6 @@
             me: peers.me as usize,
             window,
             carried: plan.burst - plan.rate * refill,
-            heard: [heard(), heard()],
             ceiling_at: now,
             ..Account::default()
         }
@@ -51,8 +48,20 @@
     /// What others used: by the counter, whose total stands in this limiter's own place, or by their
     /// letters, where those tell of more.
     fn others(&self, i: usize) -> f64 {
-        let told: f64 = self.heard[i].iter().sum();
-        self.heard[i][self.me].max(told - self.heard[i][self.me])
+        self.summed[i].max(self.told[i])
+    }
+
+    /// A limiter's total, its own place being the counter's; the sum runs along, as it is read often.
+    fn note(&mut self, i: usize, from: usize, total: f64) {
+        if from == self.me {
+            self.summed[i] = total;
+            return;
+        }
+        if from >= self.heard[i].len() {
+            self.heard[i].resize(from + 1, 0.0);
+        }
+        self.told[i] += total - self.heard[i][from];
+        self.heard[i][from] = total;
     }
 
     /// Departure from the fixed windows: guards against all limiters opening together at a window's
@@ -66,15 +75,16 @@
             let passed = (window - self.window - 1) as f64;
             self.carried = (self.left(edge, plan) + passed * plan.rate * length).min(plan.burst);
             let next = window == self.window + 1;
-            for pair in [&mut self.own, &mut self.counted, &mut self.tries] {
+            for pair in [&mut self.own, &mut self.counted, &mut self.tries, &mut self.told, &mut self.summed]
+            {
                 pair[1] = if next { pair[0] } else { 0.0 };
                 pair[0] = 0.0;
             }
             self.heard.swap(0, 1);
-            self.heard[0].fill(0.0);
-            let used = next && (self.own[1] != 0.0 || self.heard[1].iter().any(|&units| units != 0.0));
+            self.heard[0].clear();
+            let used = next && (self.own[1] != 0.0 || self.others(1) != 0.0);
             if !next {
-                self.heard[1].fill(0.0);
+                self.heard[1].clear();
             }
             self.news = [0, self.news[0] * u8::from(next)];
             self.due = [false, next && (self.due[0] || used)];
@@ -108,7 +118,7 @@
         self.roll(now, plan);
         let Some(i) = self.place(window) else { return };
         let before = self.others(i);
-        self.heard[i][from] = total;
+        self.note(i, from, total);
         let units = self.others(i) - before;
         self.carried -= units * i as f64;
         let left = self.left(now, plan);
@@ -126,8 +136,9 @@
         if now < self.split_until {
             return set;
         }
-        let active = |p: &usize| *p != self.me && self.heard[0][*p] + self.heard[1][*p] > 0.0;
-        let told = (0..self.heard[0].len()).filter(active).count() as f64;
+        let told = |i: usize, p: usize| self.heard[i].get(p).is_some_and(|&units| units > 0.0);
+        let all = self.heard[0].len().max(self.heard[1].len());
+        let told = (0..all).filter(|&p| told(0, p) || told(1, p)).count() as f64;
         let used = self.others(0) + self.others(1);
         let others = if peers.counter && used > 0.0 { set - 1.0 } else { told };
         let seen_for = secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan);
@@ -162,6 +173,13 @@
         units <= self.ceiling + plan.ceiling_slack / part / 2.0
     }
 
+    /// Only accounts that something touched can have news.
+    fn stir(&mut self, i: usize, stirred: &mut Vec<usize>) {
+        if !std::mem::replace(&mut self.stirred, true) {
+            stirred.push(i);
+        }
+    }
+
     fn includes(&self, limiter: u32, limiters: u32) -> bool {
         (limiter + limiters - self.set_first % limiters) % limiters < self.set_size
     }
@@ -176,20 +194,10 @@
             listed: true,
             // Starting value: eight trips at a server, on machines of a few cores, over all limiters.
             credits: 4.0 / f64::from(limiters),
-            out: 0,
             // Two seconds outlast nearly all work of trips that nobody waits for.
             lost: Ring::new(Duration::from_secs(2)),
-            took: 0.0,
-            slow: 0.0,
-            errors: 0.0,
-            strikes: 0,
-            drops: 0,
-            benched_until: Duration::ZERO,
-            owing_since: Duration::ZERO,
-            cold_since: None,
-            down: false,
             sends: Ring::new(rules.fall_time),
-            cut_at: Duration::ZERO,
+            ..Server::default()
         }
     }
 
@@ -275,35 +283,10 @@
             last_letter: vec![(0, 0); peers.limiters as usize],
             // Starting value: a few customers' worth.
             calls: 8.0,
-            behind_until: Duration::ZERO,
-            letters_at: Duration::ZERO,
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
             left_seen: vec![(vec![0.0; 130], 1.0); categories.len()],
-            plans,
-            categories,
-            peers,
-            server_rules,
-            job_rules,
-            chance: WyRand::new_seed(seed),
-            erring: 0.0,
-            idle: false,
-            accounts: Vec::new(),
-            by_customer: HashMap::new(),
-            servers: Vec::new(),
-            jobs: Vec::new(),
-            queue: Vec::new(),
-            started: None,
-            beat_at: Duration::ZERO,
-            woken_at: Duration::ZERO,
-            letters: 0,
-            roster_lost: false,
-            roster_at: Duration::ZERO,
-        }
-    }
-
-    /// How many plans and categories there are; a job names one of each.
-    pub fn sizes(&self) -> (usize, usize) {
-        (self.plans.len(), self.categories.len())
+            ..Limiter::empty(seed, plans, categories, peers, server_rules, job_rules)
+        }
     }
 
     /// Time between two batches: as short as the peers' inboxes surely take, with room for views.
@@ -370,13 +353,13 @@
     // ---- Quotas ----
 
     fn account(&mut self, now: Duration, customer: u64, plan: usize) -> usize {
-        if let Some(&i) = self.by_customer.get(&customer) {
-            return i;
+        let next = self.accounts.len();
+        let i = *self.by_customer.entry(customer).or_insert(next);
+        if i == next {
+            self.accounts.push(Account::new(customer, plan, &self.plans[plan], self.peers, now));
         }
-        let account = Account::new(customer, plan, &self.plans[plan], self.peers, now);
-        self.by_customer.insert(customer, self.accounts.len());
-        self.accounts.push(account);
-        self.accounts.len() - 1
+        self.accounts[i].stir(i, &mut self.stirred);
+        i
     }
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
@@ -440,13 +423,17 @@
     fn sync(&mut self, now: Duration, out: &mut dyn Writer) {
         let (limiters, me, counter) = (self.peers.limiters, self.peers.me, self.peers.counter);
         let mut order: Vec<(f64, usize)> = Vec::new();
-        for (i, account) in self.accounts.iter_mut().enumerate() {
-            let plan = &self.plans[account.plan];
+        let (accounts, plans) = (&mut self.accounts, &self.plans);
+        self.stirred.retain(|&i| {
+            let account = &mut accounts[i];
+            let plan = &plans[account.plan];
             account.roll(now, plan);
-            if account.news != [0, 0] || counter && account.due != [false, false] {
+            account.stirred = account.news != [0, 0] || counter && account.due != [false, false];
+            if account.stirred {
                 order.push((account.left(now, plan) / plan.burst.max(1.0), i));
             }
-        }
+            account.stirred
+        });
         order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
         let mut calls = self.calls;
         for &(_, account) in order.iter().filter(|_| counter) {
@@ -525,9 +512,8 @@
             // A peer that started again tells its totals from nothing; what it told before stays counted.
             for account in &mut self.accounts {
                 account.roll(now, &self.plans[account.plan]);
-                let told = std::mem::take(&mut account.heard[0][from]);
-                account.carried -= told;
-                account.heard[1][from] = 0.0;
+                account.carried -= account.heard[0].get(from).unwrap_or(&0.0);
+                (0..2).for_each(|i| account.note(i, from, 0.0));
             }
         }
         let just_started = self.started.is_none_or(|at| now < at + Duration::from_secs(1));
@@ -548,7 +534,7 @@
                 None => account.hear(now, plan, from, window, row.total, floor),
                 Some(left) if just_started => {
                     if let Some(i) = account.place(window) {
-                        account.heard[i][from] = row.total;
+                        account.note(i, from, row.total);
                     }
                     account.spilled += (account.left(now, plan) - left).max(0.0);
                 }
@@ -587,6 +573,7 @@
         self.calls = (if answered { self.calls + 0.05 } else { self.calls * 0.8 }).clamp(1.0, 64.0);
         let Some(&i) = self.by_customer.get(&answer.customer) else { return };
         let account = &mut self.accounts[i];
+        account.stir(i, &mut self.stirred);
         let Some((window, own, amount)) = account.calling.filter(|call| call.0 == answer.window) else {
             return;
         };
@@ -820,6 +807,7 @@
             let account = &mut self.accounts[open.account];
             account.roll(now, &self.plans[account.plan]);
             account.add_own(window, units - open.job.units);
+            account.stir(open.account, &mut self.stirred);
         }
         let finished = end.finished && !open.done;
         open.done |= end.finished;
@@ -882,6 +870,7 @@
         if open.trips.is_empty() {
             account.roll(now, &self.plans[account.plan]);
             open.window.into_iter().for_each(|window| account.add_own(window, -open.job.units));
+            account.stir(open.account, &mut self.stirred);
             account.ceiling += open.job.units;
         }
         if harmless {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -78,7 +78,7 @@
 #[test_case(1.5, 0.0, 0.0 => true ; "a slow customer's quota is hardly split")]
 fn sharing(left: f64, untold: f64, tries: f64) -> bool {
     let mut account = Account::new(5, 0, &plan(), peers(), at(4.0));
-    account.heard[0][1] = 1.0;
+    account.note(0, 1, 1.0);
     account.carried = left + 1.0;
     (account.own[0], account.untold, account.tries[0]) = (untold, untold, tries);
     account.admits(at(4.0), &plan(), 1.0, 0.1, peers())
@@ -179,7 +179,7 @@
     (account.own[0], account.counted[0], account.calling) = (4.0, 2.0, Some((0, 4.0, 2.0)));
     limiter.read_count(at(1.0), &CountAnswer { customer: 5, window: 0, total, not_added });
     let account = &limiter.accounts[0];
-    (account.heard[0][0], account.counted[0], u8::from(account.due[0]))
+    (account.summed[0], account.counted[0], u8::from(account.due[0]))
 }
 
 #[test]
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -105,14 +105,15 @@
     pub most_held: usize,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Up,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RosterEntry {
     pub server: u32,
     pub zone: u32,
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -14,6 +14,7 @@
 }
 
 /// What is measured over time: sums in fixed buckets of time, used again in a ring.
+#[derive(Default)]
 pub struct Ring {
     pub width: f64,
     pub slot: u64,
@@ -66,11 +67,15 @@
     pub own: [f64; 2],
     /// Tries that came in here, admitted or not.
     pub tries: [f64; 2],
-    /// By limiter, what it reported; with a counter all others' units stand in this limiter's place.
+    /// By limiter, what it reported, and the sum; with a counter, all others' units by its total.
     pub heard: [Vec<f64>; 2],
+    pub told: [f64; 2],
+    pub summed: [f64; 2],
     /// Batches that are still to carry the window's row, and whether a counter call is due.
     pub news: [u8; 2],
     pub due: [bool; 2],
+    /// It is on the limiter's list of accounts that may have something to tell.
+    pub stirred: bool,
     /// Units that the counter was given, and the call it has not answered yet: window, own, amount.
     pub counted: [f64; 2],
     pub calling: Option<(u64, f64, f64)>,
@@ -83,6 +88,7 @@
     pub ceiling_at: Duration,
 }
 
+#[derive(Default)]
 pub struct Server {
     pub entry: RosterEntry,
     pub listed: bool,
@@ -139,6 +145,7 @@
     pub(crate) chance: WyRand,
     pub(crate) accounts: Vec<Account>,
     pub(crate) by_customer: HashMap<u64, usize>,
+    pub(crate) stirred: Vec<usize>,
     pub(crate) servers: Vec<Option<Server>>,
     pub(crate) jobs: Vec<Option<OpenJob>>,
     pub(crate) queue: Vec<u32>,
@@ -168,3 +175,52 @@
     pub(crate) behind_until: Duration,
     pub(crate) letters_at: Duration,
 }
+
+impl Limiter {
+    /// Nothing seen yet.
+    pub(crate) fn empty(
+        seed: u64,
+        plans: Vec<Plan>,
+        categories: Vec<Category>,
+        peers: Peers,
+        server_rules: ServerRules,
+        job_rules: JobRules,
+    ) -> Limiter {
+        Limiter {
+            usual: 0.0,
+            calm: 0.0,
+            answers: Ring::default(),
+            answer_times: Ring::default(),
+            last_letter: Vec::new(),
+            calls: 0.0,
+            behind_until: Duration::ZERO,
+            letters_at: Duration::ZERO,
+            left_seen: Vec::new(),
+            plans,
+            categories,
+            peers,
+            server_rules,
+            job_rules,
+            chance: WyRand::new_seed(seed),
+            erring: 0.0,
+            idle: false,
+            accounts: Vec::new(),
+            by_customer: HashMap::new(),
+            stirred: Vec::new(),
+            servers: Vec::new(),
+            jobs: Vec::new(),
+            queue: Vec::new(),
+            started: None,
+            beat_at: Duration::ZERO,
+            woken_at: Duration::ZERO,
+            letters: 0,
+            roster_lost: false,
+            roster_at: Duration::ZERO,
+        }
+    }
+
+    /// How many plans and categories there are; a job names one of each.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.plans.len(), self.categories.len())
+    }
+}
