--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -147,7 +147,7 @@
         1.0 + others.min(2.0 * pace * blind)
     }
 
-    fn admits(&self, now: Duration, plan: &Plan, units: f64, blind: f64, peers: Peers) -> bool {
+    fn admits(&self, now: Duration, plan: &Plan, units: f64, blind: f64, peers: Peers, lot: f64) -> bool {
         if plan.most_open > 0 && self.out >= (plan.most_open / self.set_size.max(1)).max(1) {
             return false;
         }
@@ -155,9 +155,14 @@
             return true;
         }
         let left = self.left(now, plan);
-        let share = (left + self.untold) / self.sharers(now, plan, blind, peers);
+        let sharers = self.sharers(now, plan, blind, peers);
+        let share = (left + self.untold) / sharers - self.untold;
         let first = now < self.split_until && self.untold == 0.0;
-        left >= units && (first || self.untold + units <= share)
+        // Departure: a share of less than a job is a whole job by lot. Guards against nobody using what
+        // is left where more limiters share a quota than half of its store has jobs; with fewer, what
+        // none of them may take stays in the store and is not lost.
+        let lot = if sharers * units > plan.burst / 2.0 { lot } else { 1.0 };
+        left >= units && (first || lot * units <= share)
     }
 
     /// Guards the hard ceiling alone, whatever peers do: each limiter of the set keeps a part of its
@@ -386,7 +391,8 @@
         // They find the store empty and take nothing from it.
         let beyond = account.left(now, plan) < job.units;
         let welcome = beyond && plan.beyond_gain > plan.beyond_cost && self.idle;
-        let admitted = worth_it && (welcome || account.admits(now, plan, job.units, blind, peers));
+        let lot = self.chance.generate::<f64>();
+        let admitted = worth_it && (welcome || account.admits(now, plan, job.units, blind, peers, lot));
         if !admitted || !account.under_ceiling(now, plan, job.units) {
             account.due[0] = true;
             let wait = account.opens_in(now, plan, job.units);
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -69,19 +69,29 @@
     account.carried = left - 2.0 * after;
     account.untold = untold;
     account.carried -= untold * f64::from(u8::from(after == 0.0));
-    account.admits(at(after), &plan(), 1.0, 0.1, peers())
+    account.admits(at(after), &plan(), 1.0, 0.1, peers(), 0.999)
 }
 
-#[test_case(3.0, 0.0, 40.0 => true ; "an active peer leaves this limiter its share")]
-#[test_case(1.5, 0.0, 40.0 => false ; "the last unit is nobody's share")]
-#[test_case(3.0, 2.0, 40.0 => false ; "peers cannot know yet what was taken")]
-#[test_case(1.5, 0.0, 0.0 => true ; "a slow customer's quota is hardly split")]
-fn sharing(left: f64, untold: f64, tries: f64) -> bool {
+#[test_case(3.0, 0.0, 40.0, 0.99 => true ; "an active peer leaves this limiter its share")]
+#[test_case(1.5, 0.0, 40.0, 0.3 => false ; "the last unit is nobody's share")]
+#[test_case(3.0, 2.0, 40.0, 0.0 => false ; "peers cannot know yet what was taken")]
+#[test_case(1.5, 0.0, 0.0, 0.9 => true ; "a slow customer's quota is hardly split")]
+fn sharing(left: f64, untold: f64, tries: f64, lot: f64) -> bool {
     let mut account = Account::new(5, 0, &plan(), peers(), at(4.0));
     account.note(0, 1, 1.0);
     account.carried = left + 1.0;
     (account.own[0], account.untold, account.tries[0]) = (untold, untold, tries);
-    account.admits(at(4.0), &plan(), 1.0, 0.1, peers())
+    account.admits(at(4.0), &plan(), 1.0, 0.1, peers(), lot)
+}
+
+#[test_case(0.9 => false ; "most draw nothing")]
+#[test_case(0.1 => true ; "some draw a whole job")]
+fn a_quota_shared_by_more_limiters_than_it_has_jobs_goes_by_lot(lot: f64) -> bool {
+    let peers = Peers { limiters: 20, ..peers() };
+    let mut account = Account::new(5, 0, &plan(), peers, at(4.0));
+    (1..20).for_each(|p| account.note(0, p, 0.1));
+    (account.carried, account.tries[0]) = (6.9, 40.0);
+    account.admits(at(4.0), &plan(), 1.0, 1.0, peers, lot)
 }
 
 #[test_case(0.2, 1.0 => false ; "a restart finds no ceiling to spend")]
