--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -286,8 +286,8 @@
             answers: Ring::new(Duration::from_secs(32)),
             answer_times: Ring::new(Duration::from_secs(32)),
             last_letter: vec![(0, 0); peers.limiters as usize],
-            // Starting value: a few customers' worth.
-            calls: 8.0,
+            // Starting value: a thousand a second over all limiters, little for a service made for it.
+            calls: 20.0 / f64::from(peers.limiters),
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
             left_seen: vec![(vec![0.0; 130], 1.0); categories.len()],
             ..Limiter::empty(seed, plans, categories, peers, server_rules, job_rules)
@@ -441,18 +441,19 @@
             account.stirred
         });
         order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
-        let mut calls = self.calls;
+        // Parts of a call gather up to a few whole ones: with many limiters each has less than one a beat.
+        self.call_room = (self.call_room + self.calls).min(self.calls.max(4.0));
         for &(_, account) in order.iter().filter(|_| counter) {
             let account = &mut self.accounts[account];
             for i in [1, 0] {
                 if !account.due[i] || account.calling.is_some() {
                     continue;
                 }
-                if calls < 1.0 {
+                if self.call_room < 1.0 {
                     self.behind_until = now + Duration::from_secs(1);
                     continue;
                 }
-                calls -= 1.0;
+                self.call_room -= 1.0;
                 let window = account.window.wrapping_sub(i as u64);
                 let amount = account.own[i] - account.counted[i];
                 account.counted[i] = account.own[i];
@@ -573,10 +574,15 @@
 
     /// An unanswered add counts as made; one that surely was not made is due again.
     fn read_count(&mut self, now: Duration, answer: &CountAnswer) {
-        // Guards against a counter that is full or gone: fewer calls at once until it answers again.
-        // The calls stay within what one answer in twenty earns back of a call turned away.
-        let answered = answer.total.is_some();
-        self.calls = (if answered { self.calls + 0.05 } else { self.calls * 0.8 }).clamp(1.0, 64.0);
+        // Guards against a counter that is full or gone: fewer calls until it answers again. A call in
+        // twenty may fail before the rate falls, and it rises only where it binds. One in two seconds
+        // is enough to notice that the counter is back.
+        match answer.total {
+            Some(_) if now < self.behind_until => self.calls *= 1.01,
+            Some(_) => {}
+            None => self.calls *= 0.8,
+        }
+        self.calls = self.calls.clamp(0.01, 64.0);
         let Some(&i) = self.by_customer.get(&answer.customer) else { return };
         let account = &mut self.accounts[i];
         account.stir(i, &mut self.stirred);
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -169,8 +169,9 @@
     pub(crate) roster_at: Duration,
     /// By category, how many tries came with which part of the outer limit left, and the common share.
     pub(crate) left_seen: Vec<(Vec<f64>, f64)>,
-    /// Counter calls that may go out at once.
+    /// Counter calls a beat, and how many may go out now.
     pub(crate) calls: f64,
+    pub(crate) call_room: f64,
     /// The counter could not take all calls of late.
     pub(crate) behind_until: Duration,
     pub(crate) letters_at: Duration,
@@ -193,6 +194,7 @@
             answer_times: Ring::default(),
             last_letter: Vec::new(),
             calls: 0.0,
+            call_room: 0.0,
             behind_until: Duration::ZERO,
             letters_at: Duration::ZERO,
             left_seen: Vec::new(),
