--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -5,7 +5,7 @@
 
 use crate::letter::{self, Head, Row};
 pub use crate::state::Limiter;
-use crate::state::{Account, OpenJob, Ring, Server, Trip, secs, span};
+use crate::state::{Account, Listener, OpenJob, Ring, Server, Trip, secs, slot, span};
 use crate::*;
 use nanorand::Rng;
 
@@ -16,6 +16,17 @@
     if plan.rate > 0.0 { (plan.burst / plan.rate).max(0.1) } else { 1.0 }
 }
 
+/// How long one that asked is told by the gatherer. Limiters that a customer uses ask every two seconds;
+/// twice that, as some letters are lost.
+const LISTENED: Duration = Duration::from_secs(5);
+
+/// Departure where one limiter gathers: the chance of a try to be admitted. The emptier the store and the
+/// more is asked, the less: use settles at the refill with a third of the store left, however old the
+/// reading is.
+fn draw(left: f64, pace: f64, plan: &Plan) -> f64 {
+    (left / (pace.max(plan.rate) * window_length(plan) / 3.0)).clamp(0.0, 1.0)
+}
+
 impl Account {
     fn new(customer: u64, plan_index: usize, plan: &Plan, peers: Peers, now: Duration) -> Account {
         let window = (secs(now) / window_length(plan)) as u64;
@@ -45,25 +56,6 @@
         edge.min(refill.max(0.05))
     }
 
-    /// What others used: by the counter, whose total stands in this limiter's own place, or by their
-    /// letters, where those tell of more.
-    fn others(&self, i: usize) -> f64 {
-        self.summed[i].max(self.told[i])
-    }
-
-    /// A limiter's total, its own place being the counter's; the sum runs along, as it is read often.
-    fn note(&mut self, i: usize, from: usize, total: f64) {
-        if from == self.me {
-            self.summed[i] = total;
-            return;
-        }
-        if from >= self.heard[i].len() {
-            self.heard[i].resize(from + 1, 0.0);
-        }
-        self.told[i] += total - self.heard[i][from];
-        self.heard[i][from] = total;
-    }
-
     /// Departure from the fixed windows: guards against all limiters opening together at a window's
     /// edge. The unused allowance is carried into the next window and the refill comes evenly, so
     /// the window counts follow the store of rate and burst that the quota really is.
@@ -97,11 +89,6 @@
         }
     }
 
-    /// Index of a window in the pairs; older ones are dropped, as are ones yet to come.
-    fn place(&self, window: u64) -> Option<usize> {
-        (0..2).find(|&i| self.window.checked_sub(i as u64) == Some(window))
-    }
-
     fn add_own(&mut self, window: u64, units: f64) {
         let Some(i) = self.place(window) else {
             self.carried -= units;
@@ -155,6 +142,10 @@
             return true;
         }
         let left = self.left(now, plan);
+        if let Some(pace) = self.pace {
+            let left = self.left(now, plan).min(self.thought(now, plan));
+            return left >= units && lot <= draw(left, pace, plan);
+        }
         let sharers = self.sharers(now, plan, blind, peers);
         let share = (left + self.untold) / sharers - self.untold;
         let first = now < self.split_until && self.untold == 0.0;
@@ -178,15 +169,43 @@
         units <= self.ceiling + plan.ceiling_slack / part / 2.0
     }
 
-    /// Only accounts that something touched can have news.
-    fn stir(&mut self, i: usize, stirred: &mut Vec<usize>) {
-        if !std::mem::replace(&mut self.stirred, true) {
-            stirred.push(i);
+    /// Departure for limiters too many to tell each other in time: one of a customer's set gathers the
+    /// counts and tells the others what is left; the next of the set does while that one is silent.
+    fn gatherer(&self, peers: Peers, owing: &[u32]) -> u32 {
+        let set = u64::from(self.set_size.max(1));
+        // A multiplier with well mixed bits spreads customers over their sets.
+        let start = self.customer.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
+        let place = |k| (self.set_first % peers.limiters + ((start + k) % set) as u32) % peers.limiters;
+        // Five letters unanswered: some are lost, and two that gather for one customer tell too much.
+        let fit = |&p: &u32| p == peers.me || owing[p as usize] < 5;
+        (0..set).map(place).find(fit).unwrap_or(peers.me)
+    }
+
+    /// What a gatherer's listener is told: the ones that asked of late, where what is left is not what
+    /// they must think.
+    fn tell_listeners(&mut self, now: Duration, plan: &Plan) {
+        let left = self.left(now, plan);
+        let asked = self.asked(now, plan);
+        let thought = draw(self.thought(now, plan), self.pace.unwrap_or(0.0), plan);
+        let true_one = draw(left, asked, plan);
+        // A quarter more or less is no more than use varies by chance.
+        if (true_one - thought).abs() > 0.35 * true_one.max(thought) {
+            (self.told_left, self.pace, self.told_at) = (left, Some(asked), now);
+            self.listeners.iter_mut().for_each(|listener| listener.owed = true);
         }
+        self.listeners.retain(|listener| now < listener.heard + LISTENED);
     }
 
-    fn includes(&self, limiter: u32, limiters: u32) -> bool {
-        (limiter + limiters - self.set_first % limiters) % limiters < self.set_size
+    /// What one that was told must think is left: refill that others take is none it could use.
+    fn thought(&self, now: Duration, plan: &Plan) -> f64 {
+        let refill = plan.rate - self.pace.unwrap_or(0.0).min(plan.rate);
+        (self.told_left + refill * secs(now.saturating_sub(self.told_at))).min(plan.burst)
+    }
+
+    /// Units asked for in a second of late.
+    fn asked(&self, now: Duration, plan: &Plan) -> f64 {
+        let seen_for = secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan);
+        self.tries.iter().sum::<f64>() / seen_for.max(0.1)
     }
 }
 
@@ -286,6 +305,8 @@
             answers: Ring::new(Duration::from_secs(32)),
             answer_times: Ring::new(Duration::from_secs(32)),
             last_letter: vec![(0, 0); peers.limiters as usize],
+            owing: vec![0; peers.limiters as usize],
+            told_peer: vec![Duration::ZERO; peers.limiters as usize],
             // Starting value: a thousand a second over all limiters, little for a service made for it.
             calls: 20.0 / f64::from(peers.limiters),
             // Steps of a 128th are finer than retries spread and coarser than the way here varies.
@@ -308,40 +329,29 @@
         most.min(self.letter_interval())
     }
 
+    /// A round of letters that takes longer than this leaves most readings older than a burst lasts.
+    fn gathers(&self) -> bool {
+        self.peers.letters && self.letter_interval() > Duration::from_millis(1500)
+    }
+
     pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
         if self.started.is_none() {
             self.started = Some(now);
             self.roster_lost = self.server_rules.roster_on_request;
-            if self.peers.letters {
-                self.post(now, true, None, &[], out);
-            }
-        }
-        for roster in &round.roster {
-            self.follow(roster);
-        }
-        for letter in &round.letters {
-            self.read_letter(now, letter, out);
-        }
-        for answer in &round.counts {
-            self.read_count(now, answer);
-        }
-        for end in &round.trip_ends {
-            self.end_trip(now, end, out);
-        }
-        for &job in &round.streaming {
-            self.answer_begins(now, job);
         }
+        round.roster.iter().for_each(|roster| self.follow(roster));
+        round.letters.iter().for_each(|letter| self.read_letter(now, letter));
+        round.counts.iter().for_each(|answer| self.read_count(now, answer));
+        round.trip_ends.iter().for_each(|end| self.end_trip(now, end, out));
+        round.streaming.iter().for_each(|&job| self.answer_begins(now, job));
         for job in round.jobs.iter().filter(|job| !round.left.contains(&job.job)) {
             self.take(now, job, out);
         }
-        for &job in &round.left {
-            self.leave(job, out);
-        }
+        round.left.iter().for_each(|&job| self.close(job, out));
         if now >= self.beat_at {
             self.beat_at = now + self.beat();
             self.sync(now, out);
-            // Half a second between calls spares a roster that is pressed, and is far under what the rule
-            // allows without asking.
+            // Half a second spares a roster that is pressed, and is far under what the rule allows.
             if self.roster_lost && now >= self.roster_at + Duration::from_millis(500) {
                 self.roster_at = now;
                 out.follow_roster(true);
@@ -368,6 +378,7 @@
     }
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
+        let gathers = self.gathers();
         let counted = self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
         // And the way of a letter or a call, some tens of ms.
@@ -380,7 +391,8 @@
         }
         (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
         account.roll(now, plan);
-        account.tries[0] += 1.0;
+        account.tries[0] += if gathers { job.units } else { 1.0 };
+        account.unasked += job.units;
         let category = &self.categories[job.category];
         let (seen, firsts) = &mut self.left_seen[job.category];
         let elapsed = elapsed(job.time_left, seen, firsts, category.outer_limit);
@@ -402,14 +414,11 @@
         if !welcome {
             account.add_own(account.window, job.units);
             account.untold += job.units;
+            account.told_left -= job.units;
         }
         account.ceiling -= job.units;
         account.out += 1;
-        let slot = job.job as usize;
-        if slot >= self.jobs.len() {
-            self.jobs.resize_with(slot + 1, || None);
-        }
-        self.jobs[slot] = Some(OpenJob {
+        *slot(&mut self.jobs, job.job) = Some(OpenJob {
             job: *job,
             account: i,
             arrived: now,
@@ -427,6 +436,9 @@
     /// Drains the news: one add a customer where a counter is given, else one batch a peer, each told
     /// only of the customers it shares. The emptiest quotas go first, the rest wait for the next time.
     fn sync(&mut self, now: Duration, out: &mut dyn Writer) {
+        if self.gathers() {
+            return self.gather(now, out);
+        }
         let (limiters, me, counter) = (self.peers.limiters, self.peers.me, self.peers.counter);
         let mut order: Vec<(f64, usize)> = Vec::new();
         let (accounts, plans) = (&mut self.accounts, &self.plans);
@@ -463,8 +475,7 @@
                 out.count(account.customer, window, amount, keep);
             }
         }
-        // Departure: letters beside a counter that cannot take all calls. Guards against one that is
-        // crowded, slow or gone; costs little, as letters are small.
+        // Departure: letters beside a counter that cannot take all calls, as it is crowded, slow or gone.
         if !self.peers.letters || now < self.letters_at || counter && now >= self.behind_until {
             return;
         }
@@ -477,34 +488,90 @@
                 // One letter a peer is what its inbox takes.
                 let full = told.clone().any(|p| rows[p as usize].len() >= letter::ROWS);
                 if account.news[i] > 0 && !full {
-                    let (customer, plan, total) = (account.customer, account.plan, account.own[i]);
-                    let window = account.window.wrapping_sub(i as u64);
-                    told.for_each(|p| {
-                        rows[p as usize].push(Row { customer, plan, window, total, left: None })
-                    });
+                    told.for_each(|p| rows[p as usize].push(account.row(i)));
                     account.news[i] -= 1;
                     account.untold = 0.0;
                 }
             }
         }
         for p in (0..limiters).filter(|&p| !rows[p as usize].is_empty()) {
-            self.post(now, false, Some(p), &rows[p as usize], out);
+            self.post(now, p, &rows[p as usize], out);
+        }
+    }
+
+    /// The batch where one limiter of a set gathers: totals go to it, what is left comes back. Letters go
+    /// as the peers' inboxes take them, first to whom the emptiest quotas and the longest wait are due.
+    fn gather(&mut self, now: Duration, out: &mut dyn Writer) {
+        let peers = self.peers;
+        // Three quarters of an inbox, as every limiter sends as much as it takes in.
+        let room = 0.75 * peers.inbox_per_s * secs(self.beat());
+        self.letter_room = (self.letter_room + room).min(room + 4.0);
+        let mut mail: Vec<(f64, Vec<Row>)> = vec![(0.0, Vec::new()); peers.limiters as usize];
+        let (accounts, plans, owing) = (&mut self.accounts, &self.plans, &self.owing);
+        self.stirred.retain(|&i| {
+            let account = &mut accounts[i];
+            let plan = &plans[account.plan];
+            account.roll(now, plan);
+            let to = account.gatherer(peers, owing);
+            if account.set_size == 0 || to == peers.me {
+                account.tell_listeners(now, plan);
+                (account.news, account.due[0], account.unasked) = ([0, 0], false, 0.0);
+            }
+            let (left, pace) = (account.left(now, plan), account.asked(now, plan));
+            let need = 1.25 - (left / plan.burst.max(1.0)).clamp(0.0, 1.0);
+            let mut add = |to: u32, i: usize, total, asked, left| {
+                let row = Row { total, asked: Some(asked), left, ..account.row(i) };
+                mail[to as usize].0 += need;
+                mail[to as usize].1.push(row);
+            };
+            let asks = account.due[0] && now >= account.asked_at + LISTENED * 3 / 4;
+            if account.news[1] > 0 {
+                add(to, 1, account.own[1], 0.0, None);
+            }
+            if account.news[0] > 0 || asks {
+                add(to, 0, account.own[0], account.unasked, None);
+            }
+            for listener in account.listeners.iter().filter(|listener| listener.owed) {
+                let total = account.heard[0].get(listener.peer as usize).copied().unwrap_or(0.0);
+                add(listener.peer, 0, total, pace, Some(left));
+            }
+            account.stirred = !account.listeners.is_empty() || account.news != [0, 0] || account.due[0];
+            account.stirred
+        });
+        let due = |p: u32| mail[p as usize].0 * secs(now.saturating_sub(self.told_peer[p as usize]));
+        let mut order: Vec<u32> = (0..peers.limiters).filter(|&p| mail[p as usize].0 > 0.0).collect();
+        order.sort_by(|&a, &b| due(b).total_cmp(&due(a)));
+        order.truncate(self.letter_room as usize);
+        for p in order {
+            self.letter_room -= 1.0;
+            self.told_peer[p as usize] = now;
+            let rows = &mut mail[p as usize].1;
+            // Rows with two numbers more; what does not fit waits for the next letter.
+            rows.truncate(letter::ROWS * 2 / 3);
+            self.owing[p as usize] += u32::from(rows.iter().any(|row| row.left.is_none()));
+            for row in rows.iter() {
+                let account = &mut self.accounts[self.by_customer[&row.customer]];
+                if row.left.is_some() {
+                    account.listeners.iter_mut().filter(|l| l.peer == p).for_each(|l| l.owed = false);
+                } else {
+                    (account.news, account.due[0], account.unasked) = ([0, 0], false, 0.0);
+                    account.asked_at = now;
+                }
+            }
+            self.post(now, p, &mail[p as usize].1, out);
         }
     }
 
-    fn post(&mut self, now: Duration, asks: bool, to: Option<u32>, rows: &[Row], out: &mut dyn Writer) {
+    fn post(&mut self, now: Duration, to: u32, rows: &[Row], out: &mut dyn Writer) {
         let life = self.started.unwrap_or(now).as_millis() as u64;
-        let head = Head { life, number: self.letters + 1, asks };
-        for letter in letter::write(head, rows) {
+        for letter in letter::write(Head { life, number: self.letters + 1 }, rows) {
             self.letters += 1;
-            for p in (0..self.peers.limiters).filter(|&p| p != self.peers.me && to.is_none_or(|to| to == p)) {
-                out.tell(p, &letter);
-            }
+            out.tell(to, &letter);
         }
     }
 
     /// Malformed, stale and repeated letters change nothing.
-    fn read_letter(&mut self, now: Duration, letter: &Letter, out: &mut dyn Writer) {
+    fn read_letter(&mut self, now: Duration, letter: &Letter) {
         let Some((head, rows)) = letter::read(&letter.bytes) else { return };
         let from = letter.from as usize;
         if from >= self.last_letter.len() || letter.from == self.peers.me {
@@ -515,6 +582,7 @@
             return;
         }
         self.last_letter[from] = (head.life, head.number);
+        self.owing[from] = 0;
         if head.life > life {
             // A peer that started again tells its totals from nothing; what it told before stays counted.
             for account in &mut self.accounts {
@@ -523,7 +591,6 @@
                 (0..2).for_each(|i| account.note(i, from, 0.0));
             }
         }
-        let just_started = self.started.is_none_or(|at| now < at + Duration::from_secs(1));
         for row in rows {
             if row.plan >= self.plans.len() || row.total.abs() > 1e9 {
                 continue;
@@ -537,51 +604,31 @@
             let floor = if self.peers.settles { self.peers.most_units } else { 0.0 };
             account.roll(now, plan);
             let window = account.window.saturating_sub(account.window.wrapping_sub(row.window) & 3);
-            match row.left {
-                None => account.hear(now, plan, from, window, row.total, floor),
-                Some(left) if just_started => {
-                    if let Some(i) = account.place(window) {
-                        account.note(i, from, row.total);
-                    }
-                    account.spilled += (account.left(now, plan) - left).max(0.0);
+            let Some(left) = row.left else {
+                account.hear(now, plan, from, window, row.total, floor);
+                if let Some(asked) = row.asked {
+                    account.tries[0] += asked;
+                    account.listeners.retain(|listener| listener.peer != letter.from);
+                    account.listeners.push(Listener { peer: letter.from, heard: now, owed: true });
                 }
-                Some(_) => {}
-            }
-        }
-        if head.asks {
-            self.show_view(now, letter.from, out);
-        }
-    }
-
-    /// Departure for restarts: a limiter that starts asks its peers what is left of each quota, as its
-    /// own count of the window is gone. Guards also against lost windows after a long cut.
-    fn show_view(&mut self, now: Duration, to: u32, out: &mut dyn Writer) {
-        let mut rows = Vec::new();
-        for account in &mut self.accounts {
-            let plan = &self.plans[account.plan];
-            account.roll(now, plan);
-            let left = account.left(now, plan);
-            if plan.rate > 0.0 && left < plan.burst - 0.5 && account.includes(to, self.peers.limiters) {
-                let (customer, total) = (account.customer, account.own[0]);
-                let window = account.window;
-                rows.push(Row { customer, plan: account.plan, window, total, left: Some(left) });
+                continue;
+            };
+            let told = account.gatherer(self.peers, &self.owing) == letter.from;
+            if let (Some(i), true) = (account.place(window), told) {
+                // The gatherer's reading, less what it could not know of yet.
+                account.told_left = left - account.own[..=i].iter().sum::<f64>() + row.total;
+                account.spilled += account.left(now, plan) - account.told_left;
+                (account.told_at, account.pace, account.split_until) = (now, row.asked, Duration::ZERO);
             }
         }
-        if !rows.is_empty() {
-            self.post(now, false, Some(to), &rows, out);
-        }
     }
 
     /// An unanswered add counts as made; one that surely was not made is due again.
     fn read_count(&mut self, now: Duration, answer: &CountAnswer) {
-        // Guards against a counter that is full or gone: fewer calls until it answers again. A call in
-        // twenty may fail before the rate falls, and it rises only where it binds. One in two seconds
-        // is enough to notice that the counter is back.
-        match answer.total {
-            Some(_) if now < self.behind_until => self.calls *= 1.01,
-            Some(_) => {}
-            None => self.calls *= 0.8,
-        }
+        // Guards against a counter that is full or gone: fewer calls, down to one in two seconds. A call in
+        // twenty may fail before the rate falls; it rises only where it binds.
+        let bound = if now < self.behind_until { 1.01 } else { 1.0 };
+        self.calls *= if answer.total.is_some() { bound } else { 0.8 };
         self.calls = self.calls.clamp(0.01, 64.0);
         let Some(&i) = self.by_customer.get(&answer.customer) else { return };
         let account = &mut self.accounts[i];
@@ -616,13 +663,9 @@
         }
         let limiters = self.peers.limiters;
         for entry in &roster.entries {
-            let i = entry.server as usize;
-            if i >= self.servers.len() {
-                self.servers.resize_with(i + 1, || None);
-            }
-            let known = self.servers[i].is_some();
-            let server =
-                self.servers[i].get_or_insert_with(|| Server::new(*entry, &self.server_rules, limiters));
+            let place = slot(&mut self.servers, entry.server);
+            let known = place.is_some();
+            let server = place.get_or_insert_with(|| Server::new(*entry, &self.server_rules, limiters));
             let restarted = entry.up_since.is_some() && entry.up_since != server.entry.up_since || !known;
             server.entry = *entry;
             server.listed = entry.standing == Standing::Up;
@@ -639,18 +682,13 @@
         let open = self.jobs[job as usize].as_ref()?;
         let category = &self.categories[open.job.category];
         let rules = &self.server_rules;
-        let warm: Vec<f64> = self
-            .servers
-            .iter_mut()
-            .flatten()
-            .filter(|s| s.listed && s.cold_since.is_none())
-            .map(|s| s.sends.sum(now))
-            .collect();
         // Where limiters are many, credits are parts of a trip: all together bound what is out.
-        let usable = |s: &&Server| s.listed && now >= s.benched_until;
-        let (mut credits, mut busy) = (0.0, 0.0);
-        for server in self.servers.iter_mut().flatten() {
-            if usable(&&*server) {
+        let (mut credits, mut busy, mut warm, mut warm_sends) = (0.0, 0.0, 0.0, 0.0);
+        for server in self.servers.iter_mut().flatten().filter(|server| server.listed) {
+            if server.cold_since.is_none() {
+                (warm, warm_sends) = (warm + 1.0, warm_sends + server.sends.sum(now));
+            }
+            if now >= server.benched_until {
                 credits += server.credits * server.warmth(now, rules);
                 busy += f64::from(server.out) + server.lost.sum(now);
             }
@@ -660,7 +698,7 @@
         if busy + 1.0 > credits.max(1.0) {
             return None;
         }
-        let warm_sends = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
+        let warm_sends = warm_sends / f64::max(warm, 1.0);
         let origin = open.ran.and_then(|(server, _)| self.servers[server as usize].as_ref()).map(|s| s.entry);
         let mut best: Option<(f64, u32)> = None;
         for (i, server) in self.servers.iter_mut().enumerate() {
@@ -821,31 +859,14 @@
             account.add_own(window, units - open.job.units);
             account.stir(open.account, &mut self.stirred);
         }
-        let finished = end.finished && !open.done;
-        open.done |= end.finished;
-        let still_out = open.trips.iter().any(|trip| trip.out);
-        if finished {
-            let account = &mut self.accounts[open.account];
-            account.out = account.out.saturating_sub(1);
-            for (n, trip) in open.trips.iter().enumerate() {
-                if trip.out && self.job_rules.may_revoke {
-                    out.revoke(end.job, n as u32);
-                }
-            }
-        }
-        if open.done {
-            if !still_out {
-                self.jobs[end.job as usize] = None;
-            }
-        } else if !still_out && !open.queued {
-            if self.may_send_again(now, end.job) {
-                if let Some(open) = self.jobs[end.job as usize].as_mut() {
-                    open.queued = true;
-                }
-                self.queue.push(end.job);
-            } else {
-                self.give_up(now, end.job, out);
-            }
+        let stays = !open.queued && !open.trips.iter().any(|trip| trip.out);
+        if end.finished || open.done {
+            self.close(end.job, out);
+        } else if stays && self.may_send_again(now, end.job) {
+            self.jobs[end.job as usize].iter_mut().for_each(|open| open.queued = true);
+            self.queue.push(end.job);
+        } else if stays {
+            self.give_up(now, end.job, out);
         }
     }
 
@@ -872,13 +893,11 @@
     /// The final answer of a job that is given up, at once: a deferral where that is harmless.
     fn give_up(&mut self, now: Duration, job: u32, out: &mut dyn Writer) {
         let Some(open) = self.jobs[job as usize].as_mut().filter(|open| !open.done) else { return };
-        open.done = true;
         let harmless = match (self.categories[open.job.category].repeats, open.ran) {
             (_, None) | (Repeats::Replayable, _) | (Repeats::Referenced(Group::All, _), _) => true,
             (_, Some(_)) => false,
         };
         let account = &mut self.accounts[open.account];
-        account.out = account.out.saturating_sub(1);
         if open.trips.is_empty() {
             account.roll(now, &self.plans[account.plan]);
             open.window.into_iter().for_each(|window| account.add_own(window, -open.job.units));
@@ -893,24 +912,24 @@
         } else {
             out.scrap(job);
         }
-        if !open.trips.iter().any(|trip| trip.out) {
-            self.jobs[job as usize] = None;
-        }
+        self.close(job, out);
     }
 
-    fn leave(&mut self, job: u32, out: &mut dyn Writer) {
+    /// The job has its final answer: trips still out are taken back, and nothing more is sent.
+    fn close(&mut self, job: u32, out: &mut dyn Writer) {
         let Some(open) = self.jobs.get_mut(job as usize).and_then(|open| open.as_mut()) else { return };
-        if !open.done {
-            open.done = true;
+        if !std::mem::replace(&mut open.done, true) {
             let account = &mut self.accounts[open.account];
             account.out = account.out.saturating_sub(1);
         }
-        for (n, trip) in open.trips.iter().enumerate() {
-            if trip.out && self.job_rules.may_revoke {
+        let mut still_out = false;
+        for (n, trip) in open.trips.iter_mut().enumerate().filter(|(_, trip)| trip.out) {
+            still_out = true;
+            if self.job_rules.may_revoke && !std::mem::replace(&mut trip.revoked, true) {
                 out.revoke(job, n as u32);
             }
         }
-        if !open.trips.iter().any(|trip| trip.out) {
+        if !still_out {
             self.jobs[job as usize] = None;
         }
     }
--- a/crates/merlinreel-core/src/letter.rs
+++ b/crates/merlinreel-core/src/letter.rs
@@ -13,6 +13,8 @@
     pub window: u64,
     /// The sender's own units in that window so far.
     pub total: f64,
+    /// Units asked for: since the sender's last row, or a second where it says what is left.
+    pub asked: Option<f64>,
     /// What the sender holds to be left of the customer's quota, where it was asked.
     pub left: Option<f64>,
 }
@@ -22,8 +24,6 @@
     /// When the sender started, in milliseconds: a later life tells its totals anew.
     pub life: u64,
     pub number: u64,
-    /// The sender has just started and asks what is left of the quotas.
-    pub asks: bool,
 }
 
 fn put(bytes: &mut Vec<u8>, mut value: u64) {
@@ -63,7 +63,7 @@
 pub fn write(mut head: Head, rows: &[Row]) -> Vec<Vec<u8>> {
     let begin = |head: &Head| {
         let mut bytes = Vec::with_capacity(MOST_BYTES);
-        put(&mut bytes, head.life << 1 | u64::from(head.asks));
+        put(&mut bytes, head.life);
         put(&mut bytes, head.number);
         bytes
     };
@@ -71,10 +71,10 @@
     for row in rows {
         let mut bytes = Vec::new();
         put(&mut bytes, row.customer);
-        put(&mut bytes, (row.plan as u64) << 3 | u64::from(row.left.is_some()) << 2 | row.window & 3);
-        put(&mut bytes, signed(row.total));
-        if let Some(left) = row.left {
-            put(&mut bytes, signed(left));
+        let kind = u64::from(row.asked.is_some()) << 3 | u64::from(row.left.is_some()) << 2;
+        put(&mut bytes, (row.plan as u64) << 4 | kind | row.window & 3);
+        for units in [Some(row.total), row.asked, row.left].into_iter().flatten() {
+            put(&mut bytes, signed(units));
         }
         if letters.last().is_some_and(|letter| letter.len() + bytes.len() > MOST_BYTES) {
             head.number += 1;
@@ -89,16 +89,16 @@
 
 /// None where the bytes are no whole letter.
 pub fn read(mut bytes: &[u8]) -> Option<(Head, Vec<Row>)> {
-    let first = take(&mut bytes)?;
-    let head = Head { life: first >> 1, asks: first & 1 == 1, number: take(&mut bytes)? };
+    let head = Head { life: take(&mut bytes)?, number: take(&mut bytes)? };
     let mut rows = Vec::new();
     while !bytes.is_empty() {
         let (customer, kind) = (take(&mut bytes)?, take(&mut bytes)?);
         rows.push(Row {
             customer,
-            plan: usize::try_from(kind >> 3).ok()?,
+            plan: usize::try_from(kind >> 4).ok()?,
             window: kind & 3,
             total: units(take(&mut bytes)?),
+            asked: if kind & 8 != 0 { Some(units(take(&mut bytes)?)) } else { None },
             left: if kind & 4 != 0 { Some(units(take(&mut bytes)?)) } else { None },
         });
     }
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that the module keeps, and how it is measured over time; nothing is decided here.
 
+use crate::letter::Row;
 use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules};
 use nanorand::WyRand;
 use std::collections::HashMap;
@@ -13,6 +14,15 @@
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
 }
 
+/// A place in a list that grows as indices come.
+pub fn slot<T>(list: &mut Vec<Option<T>>, index: u32) -> &mut Option<T> {
+    let i = index as usize;
+    if i >= list.len() {
+        list.resize_with(i + 1, || None);
+    }
+    &mut list[i]
+}
+
 /// What is measured over time: sums in fixed buckets of time, used again in a ring.
 #[derive(Default)]
 pub struct Ring {
@@ -51,7 +61,15 @@
     }
 }
 
-/// What is known of one customer's quota. Index 0 of the pairs is the present window, 1 the one before it, which late news still reach.
+/// A limiter that reported to the gatherer of a customer's counts.
+pub struct Listener {
+    pub peer: u32,
+    pub heard: Duration,
+    pub owed: bool,
+}
+
+/// What is known of one customer's quota. Index 0 of the pairs is the present window, 1 the one before
+/// it, which late news still reach.
 #[derive(Default)]
 pub struct Account {
     pub customer: u64,
@@ -81,6 +99,15 @@
     pub calling: Option<(u64, f64, f64)>,
     /// Own units admitted since the last batch: peers cannot know of them.
     pub untold: f64,
+    /// Units asked for a second, as the gatherer tells; none where nobody gathers.
+    pub pace: Option<f64>,
+    /// Units asked for that the gatherer was not told of, and when it was told last.
+    pub unasked: f64,
+    pub asked_at: Duration,
+    /// At the gatherer: who reported when, and is owed an answer; what they were told last, and when.
+    pub listeners: Vec<Listener>,
+    pub told_left: f64,
+    pub told_at: Duration,
     /// A new customer's quota is split until then, or until it is reported.
     pub split_until: Duration,
     pub out: u32,
@@ -162,6 +189,10 @@
     pub(crate) beat_at: Duration,
     pub(crate) woken_at: Duration,
     pub(crate) letters: u64,
+    /// Letters that may go out now; by peer, when it was told last and how many letters it left unanswered.
+    pub(crate) letter_room: f64,
+    pub(crate) told_peer: Vec<Duration>,
+    pub(crate) owing: Vec<u32>,
     /// By limiter: the life and the number of the last letter.
     pub(crate) last_letter: Vec<(u64, u64)>,
     /// The roster must be asked for, and the last call failed or is yet to be made.
@@ -177,6 +208,49 @@
     pub(crate) letters_at: Duration,
 }
 
+impl Account {
+    /// Its row of the present window or the one before in a letter.
+    pub fn row(&self, i: usize) -> Row {
+        let window = self.window.wrapping_sub(i as u64);
+        Row { customer: self.customer, plan: self.plan, window, total: self.own[i], asked: None, left: None }
+    }
+
+    /// What others used: by the counter, whose total stands in this limiter's own place, or by their
+    /// letters, where those tell of more.
+    pub fn others(&self, i: usize) -> f64 {
+        self.summed[i].max(self.told[i])
+    }
+
+    /// A limiter's total, its own place being the counter's; the sum runs along, as it is read often.
+    pub fn note(&mut self, i: usize, from: usize, total: f64) {
+        if from == self.me {
+            self.summed[i] = total;
+            return;
+        }
+        if from >= self.heard[i].len() {
+            self.heard[i].resize(from + 1, 0.0);
+        }
+        self.told[i] += total - self.heard[i][from];
+        self.heard[i][from] = total;
+    }
+
+    /// Index of a window in the pairs; older ones are dropped, as are ones yet to come.
+    pub fn place(&self, window: u64) -> Option<usize> {
+        (0..2).find(|&i| self.window.checked_sub(i as u64) == Some(window))
+    }
+
+    /// Only accounts that something touched can have news.
+    pub fn stir(&mut self, i: usize, stirred: &mut Vec<usize>) {
+        if !std::mem::replace(&mut self.stirred, true) {
+            stirred.push(i);
+        }
+    }
+
+    pub fn includes(&self, limiter: u32, limiters: u32) -> bool {
+        (limiter + limiters - self.set_first % limiters) % limiters < self.set_size
+    }
+}
+
 impl Limiter {
     /// Nothing seen yet.
     pub(crate) fn empty(
@@ -193,6 +267,9 @@
             answers: Ring::default(),
             answer_times: Ring::default(),
             last_letter: Vec::new(),
+            letter_room: 0.0,
+            told_peer: Vec::new(),
+            owing: Vec::new(),
             calls: 0.0,
             call_room: 0.0,
             behind_until: Duration::ZERO,
