--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -684,8 +684,9 @@
         let rules = &self.server_rules;
         // Where limiters are many, credits are parts of a trip: all together bound what is out.
         let (mut credits, mut busy, mut warm, mut warm_sends) = (0.0, 0.0, 0.0, 0.0);
+        let any_cold = self.servers.iter().flatten().any(|server| server.cold_since.is_some());
         for server in self.servers.iter_mut().flatten().filter(|server| server.listed) {
-            if server.cold_since.is_none() {
+            if any_cold && server.cold_since.is_none() {
                 (warm, warm_sends) = (warm + 1.0, warm_sends + server.sends.sum(now));
             }
             if now >= server.benched_until {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -29,11 +29,13 @@
     pub width: f64,
     pub slot: u64,
     pub sums: [f64; 8],
+    /// Nothing in it at the last reading, nor added since: read often, it need not turn.
+    pub empty: bool,
 }
 
 impl Ring {
     pub fn new(length: Duration) -> Ring {
-        Ring { width: (secs(length) / 8.0).max(0.001), slot: 0, sums: [0.0; 8] }
+        Ring { width: (secs(length) / 8.0).max(0.001), slot: 0, sums: [0.0; 8], empty: true }
     }
 
     pub fn turn(&mut self, now: Duration) {
@@ -47,6 +49,7 @@
     pub fn add(&mut self, now: Duration, amount: f64) {
         self.turn(now);
         self.sums[self.slot as usize % 8] += amount;
+        self.empty = false;
     }
 
     /// The least mean of any bucket with that many counts.
@@ -56,8 +59,13 @@
     }
 
     pub fn sum(&mut self, now: Duration) -> f64 {
+        if self.empty {
+            return 0.0;
+        }
         self.turn(now);
-        self.sums.iter().sum()
+        let sum = self.sums.iter().sum();
+        self.empty = self.sums == [0.0; 8];
+        sum
     }
 }
 
