--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -795,6 +795,8 @@
                 self.calm = least;
             }
         }
+        // Two at a server over all limiters keep it at work, however long its answers take.
+        let floor = 2.0 / f64::from(self.peers.limiters);
         let (sent, target) = (trip.sent, secs(self.categories[open.job.category].target_time));
         if let Some(server) = self.servers.get_mut(end.server as usize).and_then(|s| s.as_mut()) {
             server.out = server.out.saturating_sub(1);
@@ -805,8 +807,6 @@
                 // Four tenths of the target time leave room for the slower answers; beyond three and a
                 // half calm ones a server only queues, and some do less the more they hold.
                 let long = (target * 0.4).min(self.calm * 2.5);
-                // Three at a server over all limiters keep it at work, however long its answers take.
-                let floor = 2.0 / f64::from(self.peers.limiters);
                 server.pace(now, took, long, floor, pressed);
             }
             if matches!(end.ending, Ending::Expired | Ending::Revoked) {
@@ -836,7 +836,8 @@
                     }
                 }
                 Ending::TurnedAway => {
-                    server.credits = (server.credits * 0.7).max(1.0);
+                    // Never more than before: with many limiters credits are parts of a trip.
+                    server.credits = (server.credits * 0.7).max(floor.min(server.credits));
                     server.benched_until = server.benched_until.max(now + Duration::from_millis(100));
                 }
                 Ending::NoConnection => {
