--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -211,6 +211,11 @@
 
 // ---- Servers: credits, health, cold starts ----
 
+/// Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages.
+fn overdue_after(usual: f64) -> Duration {
+    span((usual * 6.0).clamp(0.25, 1.5))
+}
+
 impl Server {
     fn new(entry: RosterEntry, rules: &ServerRules, limiters: u32) -> Server {
         Server {
@@ -218,8 +223,6 @@
             listed: true,
             // Starting value: eight trips at a server, on machines of a few cores, over all limiters.
             credits: 4.0 / f64::from(limiters),
-            // Two seconds outlast nearly all work of trips that nobody waits for.
-            lost: Ring::new(Duration::from_secs(2)),
             sends: Ring::new(rules.fall_time),
             ..Server::default()
         }
@@ -262,8 +265,7 @@
 
     /// Silence longer than any ordinary answer takes guards against hangs and unseen deaths.
     fn silent(&self, now: Duration, usual: f64) -> bool {
-        // Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages.
-        self.out > 0 && secs(now.saturating_sub(self.owing_since)) > (usual * 6.0).clamp(0.25, 1.5)
+        self.out > 0 && now > self.owing_since + overdue_after(usual)
     }
 }
 
@@ -691,7 +693,7 @@
             }
             if now >= server.benched_until {
                 credits += server.credits * server.warmth(now, rules);
-                busy += f64::from(server.out) + server.lost.sum(now);
+                busy += f64::from(server.out);
             }
         }
         // Half of the credits left are room enough for what comes inside the quotas.
@@ -729,8 +731,8 @@
             let turn = i as f64 * 0.618 + secs(now).div_euclid(0.5) * 0.382;
             let turn = (turn + f64::from(self.peers.me) / f64::from(self.peers.limiters)).fract();
             let credits = credits.floor() + f64::from(u8::from(turn < credits.fract()));
-            // A credit comes back with an answer; without one, only once the work must be over.
-            if f64::from(server.out) + server.lost.sum(now) + 1.0 > credits {
+            // A credit comes back with an answer, or once the trip is overdue (see `watch`).
+            if f64::from(server.out) + 1.0 > credits {
                 continue;
             }
             // Every limiter sends a cold server its warm share times the warmth, far inside the
@@ -750,30 +752,32 @@
         best.map(|(_, server)| server)
     }
 
-    /// Takes trips back from servers that fell silent, where the job may be sent again.
+    /// Gives up on answers that are long overdue. The credit comes back, as the work is over where the
+    /// server lives; one that has answered nothing since the trip was sent is struck; and a job that may
+    /// be sent again is taken back. Guards against hangs as well as against answers that get lost on the
+    /// way from servers that work: those must not starve the credits.
     fn watch(&mut self, now: Duration, out: &mut dyn Writer) {
-        if !self.job_rules.may_revoke {
-            return;
-        }
-        let usual = self.usual;
-        let silent = |s: &Option<Server>| s.as_ref().is_some_and(|s| s.silent(now, usual));
-        let silent: Vec<bool> = self.servers.iter().map(silent).collect();
-        if !silent.contains(&true) {
-            return;
-        }
-        for open in self.jobs.iter_mut().flatten().filter(|open| !open.done) {
+        let overdue_after = overdue_after(self.usual);
+        let most = self.job_rules.most_trips as usize;
+        for open in self.jobs.iter_mut().flatten() {
             let again = match self.categories[open.job.category].repeats {
                 Repeats::Replayable => true,
                 Repeats::Referenced(_, memory) => open.trips.iter().all(|t| now < t.sent + memory / 2),
                 Repeats::SingleUse => false,
             };
-            let most = self.job_rules.most_trips as usize;
-            if !again || open.trips.len() >= most || now >= open.target {
-                continue;
-            }
+            let again = again && !open.done && open.trips.len() < most && now < open.target;
             for (n, trip) in open.trips.iter_mut().enumerate() {
-                if trip.out && !trip.revoked && silent[trip.server as usize] {
-                    trip.revoked = true;
+                if !trip.out || trip.overdue || now <= trip.sent + overdue_after {
+                    continue;
+                }
+                trip.overdue = true;
+                if let Some(server) = &mut self.servers[trip.server as usize] {
+                    server.out = server.out.saturating_sub(1);
+                    if server.owing_since <= trip.sent {
+                        server.strike(now);
+                    }
+                }
+                if again && self.job_rules.may_revoke && !std::mem::replace(&mut trip.revoked, true) {
                     out.revoke(open.job.job, n as u32);
                 }
             }
@@ -787,6 +791,7 @@
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
+        let overdue = trip.overdue;
         if end.ending == Ending::Fulfilled {
             self.answers.add(now, 1.0);
             self.answer_times.add(now, took);
@@ -799,23 +804,23 @@
         let floor = 2.0 / f64::from(self.peers.limiters);
         let (sent, target) = (trip.sent, secs(self.categories[open.job.category].target_time));
         if let Some(server) = self.servers.get_mut(end.server as usize).and_then(|s| s.as_mut()) {
-            server.out = server.out.saturating_sub(1);
+            if !overdue {
+                server.out = server.out.saturating_sub(1);
+            }
             if !matches!(end.ending, Ending::Revoked | Ending::Expired | Ending::Unsent) {
                 server.owing_since = now;
             }
-            if !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent) {
+            let unanswered = overdue && end.ending != Ending::Fulfilled;
+            if !unanswered
+                && !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent)
+            {
                 // Four tenths of the target time leave room for the slower answers; beyond three and a
                 // half calm ones a server only queues, and some do less the more they hold.
                 let long = (target * 0.4).min(self.calm * 2.5);
                 server.pace(now, took, long, floor, pressed);
             }
-            if matches!(end.ending, Ending::Expired | Ending::Revoked) {
-                server.lost.add(now, 1.0);
-            }
             match end.ending {
                 Ending::Fulfilled => {
-                    // Servers work in turn: what was left before this trip is over as well.
-                    server.lost = Ring::new(Duration::from_secs(2));
                     server.took += (took - server.took) * if server.took > 0.0 { 0.1 } else { 1.0 };
                     self.usual += (took - self.usual) * 0.02;
                     server.errors *= 0.9;
@@ -844,11 +849,6 @@
                     server.down = true;
                     server.strike(now);
                 }
-                Ending::Expired | Ending::Revoked
-                    if took > self.usual * 4.0 && (server.out == 0 || server.silent(now, self.usual)) =>
-                {
-                    server.strike(now);
-                }
                 _ => {}
             }
         }
@@ -884,10 +884,11 @@
         rule && in_time && open.trips.len() < self.job_rules.most_trips as usize
     }
 
-    /// A streamed answer has begun: its server is not silent, however long the rest takes.
+    /// A streamed answer has begun: its server is not silent, and the trip is never taken back.
     fn answer_begins(&mut self, now: Duration, job: u32) {
-        let Some(open) = self.jobs.get(job as usize).and_then(|open| open.as_ref()) else { return };
-        for trip in open.trips.iter().filter(|trip| trip.out) {
+        let Some(open) = self.jobs.get_mut(job as usize).and_then(|open| open.as_mut()) else { return };
+        for trip in open.trips.iter_mut().filter(|trip| trip.out) {
+            trip.revoked = true;
             self.servers[trip.server as usize].iter_mut().for_each(|server| server.owing_since = now);
         }
     }
@@ -977,7 +978,7 @@
                 continue;
             };
             open.queued = false;
-            open.trips.push(Trip { server, sent: now, out: true, revoked: false });
+            open.trips.push(Trip { server, sent: now, out: true, revoked: false, overdue: false });
             if at.out == 0 {
                 at.owing_since = now;
             }
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -276,7 +276,6 @@
 #[test_case(|s| s.benched_until = at(9.0) => Some(1) ; "one that failed")]
 #[test_case(|s| s.out = 2 => Some(1) ; "no credit left")]
 #[test_case(|s| (s.out, s.owing_since) = (1, at(-1.0)) => Some(1) ; "one that fell silent")]
-#[test_case(|s| (0..2).for_each(|_| s.lost.add(at(2.0), 1.0)) => Some(1) ; "abandoned work in hand")]
 #[test_case(|s| s.errors = 0.2 => Some(1) ; "one that fails fast and so looks idle")]
 fn choosing(trouble: fn(&mut Server)) -> Option<u32> {
     let mut limiter = with_servers(on_trip(Repeats::Replayable));
@@ -424,6 +423,15 @@
     notes.lines.len()
 }
 
+#[test_case(0.5 => (0, 1) ; "a hang: the server answered nothing since and is struck")]
+#[test_case(2.0 => (0, 0) ; "a lost answer: it answered others, its credit comes back")]
+fn overdue_trips(answered: f64) -> (u32, u32) {
+    let mut limiter = on_trip(Repeats::SingleUse);
+    limiter.servers[0].as_mut().into_iter().for_each(|server| server.owing_since = at(answered));
+    limiter.watch(at(4.0), &mut Notes::default());
+    limiter.servers[0].as_ref().map_or((9, 9), |server| (server.out, server.strikes))
+}
+
 #[test_case(0.1, 2.0, "send 0 to 0" ; "sent where credit is left")]
 #[test_case(0.1, 1.05, "defer 0 3.0" ; "given up at once when its target time cannot be met")]
 #[test_case(9.0, 1.4, "send 0 to 0" ; "slow answers never close the limiter for good")]
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -130,8 +130,6 @@
     /// Most trips that this limiter has out there, and how many are.
     pub credits: f64,
     pub out: u32,
-    /// Credits of trips that ended without an answer: the server may still be at work on them.
-    pub lost: Ring,
     pub took: f64,
     /// How much of the target time its answers use.
     pub slow: f64,
@@ -153,6 +151,8 @@
     pub sent: Duration,
     pub out: bool,
     pub revoked: bool,
+    /// Its answer is no more expected, and its credit given back.
+    pub overdue: bool,
 }
 
 pub struct OpenJob {
