--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -16,13 +16,11 @@
     if plan.rate > 0.0 { (plan.burst / plan.rate).max(0.1) } else { 1.0 }
 }
 
-/// How long one that asked is told by the gatherer. Limiters that a customer uses ask every two seconds;
-/// twice that, as some letters are lost.
+/// How long one that asked is told by the gatherer; who goes on using a customer asks sooner again.
 const LISTENED: Duration = Duration::from_secs(5);
 
-/// Departure where one limiter gathers: the chance of a try to be admitted. The emptier the store and the
-/// more is asked, the less: use settles at the refill with a third of the store left, however old the
-/// reading is.
+/// Departure where one limiter gathers: a try's chance. Less as the store empties and as more is asked, so
+/// use settles at the refill with a third of the store left, however old the reading is.
 fn draw(left: f64, pace: f64, plan: &Plan) -> f64 {
     (left / (pace.max(plan.rate) * window_length(plan) / 3.0)).clamp(0.0, 1.0)
 }
@@ -56,9 +54,8 @@
         edge.min(refill.max(0.05))
     }
 
-    /// Departure from the fixed windows: guards against all limiters opening together at a window's
-    /// edge. The unused allowance is carried into the next window and the refill comes evenly, so
-    /// the window counts follow the store of rate and burst that the quota really is.
+    /// Departure from the fixed windows: guards against all limiters opening together at an edge. Unused
+    /// allowance is carried over and refill comes evenly: the store of rate and burst that a quota is.
     fn roll(&mut self, now: Duration, plan: &Plan) {
         let length = window_length(plan);
         let window = (secs(now) / length) as u64;
@@ -115,9 +112,8 @@
         self.split_until = Duration::ZERO;
     }
 
-    /// Limiters that this quota is split over while they are blind to each other: those that used it
-    /// lately, as far as they are likely to take from it in that time. A slow customer's quota is hardly
-    /// split; a busy one's is split over all.
+    /// Limiters that this quota is split over while they are blind to each other: those that used it lately,
+    /// as far as they are likely to take from it in that time. A slow customer's is hardly split.
     fn sharers(&self, now: Duration, plan: &Plan, blind: f64, peers: Peers) -> f64 {
         let set = f64::from(self.set_size.max(1));
         if now < self.split_until {
@@ -128,8 +124,7 @@
         let told = (0..all).filter(|&p| told(0, p) || told(1, p)).count() as f64;
         let used = self.others(0) + self.others(1);
         let others = if peers.counter && used > 0.0 { set - 1.0 } else { told };
-        let seen_for = secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan);
-        let pace = (self.tries.iter().sum::<f64>() * others).max(used) / seen_for.max(0.1);
+        let pace = self.pace_of(now, plan, (self.tries.iter().sum::<f64>() * others).max(used));
         // Twice what is expected of them, as they come in bursts.
         1.0 + others.min(2.0 * pace * blind)
     }
@@ -143,17 +138,12 @@
         }
         let left = self.left(now, plan);
         if let Some(pace) = self.pace {
-            let left = self.left(now, plan).min(self.thought(now, plan));
+            let left = left.min(self.thought(now, plan));
             return left >= units && lot <= draw(left, pace, plan);
         }
-        let sharers = self.sharers(now, plan, blind, peers);
-        let share = (left + self.untold) / sharers - self.untold;
+        let share = (left + self.untold) / self.sharers(now, plan, blind, peers) - self.untold;
         let first = now < self.split_until && self.untold == 0.0;
-        // Departure: a share of less than a job is a whole job by lot. Guards against nobody using what
-        // is left where more limiters share a quota than half of its store has jobs; with fewer, what
-        // none of them may take stays in the store and is not lost.
-        let lot = if sharers * units > plan.burst / 2.0 { lot } else { 1.0 };
-        left >= units && (first || lot * units <= share)
+        left >= units && (first || units <= share)
     }
 
     /// Guards the hard ceiling alone, whatever peers do: each limiter of the set keeps a part of its
@@ -181,14 +171,13 @@
         (0..set).map(place).find(fit).unwrap_or(peers.me)
     }
 
-    /// What a gatherer's listener is told: the ones that asked of late, where what is left is not what
-    /// they must think.
+    /// Tells who asked of late, where what is left is not what they must think.
     fn tell_listeners(&mut self, now: Duration, plan: &Plan) {
         let left = self.left(now, plan);
         let asked = self.asked(now, plan);
         let thought = draw(self.thought(now, plan), self.pace.unwrap_or(0.0), plan);
         let true_one = draw(left, asked, plan);
-        // A quarter more or less is no more than use varies by chance.
+        // A third more or less is no more than use varies by chance.
         if (true_one - thought).abs() > 0.35 * true_one.max(thought) {
             (self.told_left, self.pace, self.told_at) = (left, Some(asked), now);
             self.listeners.iter_mut().for_each(|listener| listener.owed = true);
@@ -202,18 +191,28 @@
         (self.told_left + refill * secs(now.saturating_sub(self.told_at))).min(plan.burst)
     }
 
-    /// Units asked for in a second of late.
+    /// A second's part of what this window and the last one brought; so of the units asked for.
+    fn pace_of(&self, now: Duration, plan: &Plan, both: f64) -> f64 {
+        both / (secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan)).max(0.1)
+    }
+
     fn asked(&self, now: Duration, plan: &Plan) -> f64 {
-        let seen_for = secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan);
-        self.tries.iter().sum::<f64>() / seen_for.max(0.1)
+        self.pace_of(now, plan, self.tries.iter().sum())
     }
 }
 
 // ---- Servers: credits, health, cold starts ----
 
-/// Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages.
-fn overdue_after(usual: f64) -> Duration {
-    span((usual * 6.0).clamp(0.25, 1.5))
+/// Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages. Where
+/// many more answers are lost than slow ones make up, waiting is worth less: at one in nine, half as long.
+fn overdue_after(usual: f64, losing: f64) -> Duration {
+    span((usual * 6.0 / (1.0 + 12.0 * (losing - 0.03).max(0.0))).clamp(0.1, 1.5))
+}
+
+/// One job in four is always waited for in full: else giving up the slow ones would make the usual answer
+/// seem ever quicker and slow answers seem lost.
+fn watched(job: u32) -> bool {
+    job.is_multiple_of(4)
 }
 
 impl Server {
@@ -262,11 +261,6 @@
     fn fails(&self, erring: f64) -> bool {
         self.errors > 0.3 + erring
     }
-
-    /// Silence longer than any ordinary answer takes guards against hangs and unseen deaths.
-    fn silent(&self, now: Duration, usual: f64) -> bool {
-        self.out > 0 && now > self.owing_since + overdue_after(usual)
-    }
 }
 
 /// How long the client has waited over earlier tries. First tries of a category come with one and the
@@ -298,11 +292,11 @@
         server_rules: ServerRules,
         job_rules: JobRules,
     ) -> Limiter {
+        // Until answers are seen; two and a half of them do not bind then.
+        let fifth = categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min);
         Limiter {
-            // Until answers are seen, a fifth of the shortest target time.
-            usual: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
-            // As long, until seen: three and a half of them do not bind then.
-            calm: categories.iter().map(|c| secs(c.target_time) / 5.0).fold(1.0, f64::min),
+            usual: fifth,
+            calm: fifth,
             // Half a minute of buckets outlasts most surges.
             answers: Ring::new(Duration::from_secs(32)),
             answer_times: Ring::new(Duration::from_secs(32)),
@@ -317,9 +311,8 @@
         }
     }
 
-    /// Time between two batches: as short as the peers' inboxes surely take, with room for views.
     fn letter_interval(&self) -> Duration {
-        // Three quarters of the inbox for batches, never under 20 ms.
+        // As short as the peers' inboxes surely take: three quarters, never under 20 ms.
         let others = f64::from(self.peers.limiters.saturating_sub(1));
         span((others / (0.75 * self.peers.inbox_per_s.max(1.0))).max(0.02))
     }
@@ -333,7 +326,7 @@
 
     /// A round of letters that takes longer than this leaves most readings older than a burst lasts.
     fn gathers(&self) -> bool {
-        self.peers.letters && self.letter_interval() > Duration::from_millis(1500)
+        self.peers.letters && self.letter_interval() > Duration::from_millis(600)
     }
 
     pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
@@ -706,7 +699,7 @@
         let mut best: Option<(f64, u32)> = None;
         for (i, server) in self.servers.iter_mut().enumerate() {
             let Some(server) = server else { continue };
-            if !server.listed || now < server.benched_until || server.silent(now, self.usual) {
+            if !server.listed || now < server.benched_until {
                 continue;
             }
             if let (Some(origin), Repeats::Referenced(group, _)) = (origin, category.repeats)
@@ -752,12 +745,11 @@
         best.map(|(_, server)| server)
     }
 
-    /// Gives up on answers that are long overdue. The credit comes back, as the work is over where the
-    /// server lives; one that has answered nothing since the trip was sent is struck; and a job that may
-    /// be sent again is taken back. Guards against hangs as well as against answers that get lost on the
-    /// way from servers that work: those must not starve the credits.
+    /// Gives up on answers long overdue: the credit comes back, as a server that lives has done the work;
+    /// one that answered nothing since is struck; what may be sent again is taken back. Guards against
+    /// hangs as well as answers lost on the way from servers that work, which must not starve the credits.
     fn watch(&mut self, now: Duration, out: &mut dyn Writer) {
-        let overdue_after = overdue_after(self.usual);
+        let patience = overdue_after(self.usual, self.losing);
         let most = self.job_rules.most_trips as usize;
         for open in self.jobs.iter_mut().flatten() {
             let again = match self.categories[open.job.category].repeats {
@@ -767,13 +759,18 @@
             };
             let again = again && !open.done && open.trips.len() < most && now < open.target;
             for (n, trip) in open.trips.iter_mut().enumerate() {
-                if !trip.out || trip.overdue || now <= trip.sent + overdue_after {
+                let full = watched(open.job.job);
+                let patience = if full { overdue_after(self.usual, 0.0) } else { patience };
+                if !trip.out || trip.overdue || now <= trip.sent + patience {
                     continue;
                 }
                 trip.overdue = true;
                 if let Some(server) = &mut self.servers[trip.server as usize] {
                     server.out = server.out.saturating_sub(1);
-                    if server.owing_since <= trip.sent {
+                    self.losing += (1.0 - self.losing) * if full { 0.02 } else { 0.0 };
+                    if server.owing_since <= trip.sent
+                        && now > server.owing_since + overdue_after(self.usual, 0.0)
+                    {
                         server.strike(now);
                     }
                 }
@@ -822,7 +819,10 @@
             match end.ending {
                 Ending::Fulfilled => {
                     server.took += (took - server.took) * if server.took > 0.0 { 0.1 } else { 1.0 };
-                    self.usual += (took - self.usual) * 0.02;
+                    if watched(end.job) {
+                        self.usual += (took - self.usual) * 0.05;
+                        self.losing *= 0.98;
+                    }
                     server.errors *= 0.9;
                     self.erring *= 0.99;
                     (server.strikes, server.drops) = (0, 0);
@@ -937,9 +937,8 @@
         }
     }
 
-    /// Sends what waits to where credit is left, the last arrived first: under pressure the newest
-    /// are answered in time, where the oldest first would make all of them just late. A job that could
-    /// not be answered by its target time any more is given up at once.
+    /// Sends what waits, the last arrived first: under pressure the newest are answered in time, where the
+    /// oldest first would make all late. What cannot be answered by its target time is given up at once.
     fn dispatch(&mut self, now: Duration, out: &mut dyn Writer) {
         if self.queue.is_empty() {
             return;
@@ -973,10 +972,8 @@
                 self.queue.push(job);
                 continue;
             };
-            let (Some(open), Some(at)) = (&mut self.jobs[job as usize], &mut self.servers[server as usize])
-            else {
-                continue;
-            };
+            let places = (&mut self.jobs[job as usize], &mut self.servers[server as usize]);
+            let (Some(open), Some(at)) = places else { continue };
             open.queued = false;
             open.trips.push(Trip { server, sent: now, out: true, revoked: false, overdue: false });
             if at.out == 0 {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -187,6 +187,8 @@
     pub(crate) usual: f64,
     /// Share of trips that fail, over all servers.
     pub(crate) erring: f64,
+    /// Share of trips whose answer was long overdue.
+    pub(crate) losing: f64,
     /// Servers had credit to spare at the last choice.
     pub(crate) idle: bool,
     /// What answers take while servers are calm, and what tells it.
@@ -290,6 +292,7 @@
             job_rules,
             chance: WyRand::new_seed(seed),
             erring: 0.0,
+            losing: 0.0,
             idle: false,
             accounts: Vec::new(),
             by_customer: HashMap::new(),
