--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -717,7 +717,7 @@
                 server.cold_since = None;
             }
             let trial = server.strikes > 0 || server.fails(self.erring);
-            let credits = if trial { 1.0 } else { server.credits * warmth };
+            let credits = server.credits.min(if trial { 1.0 } else { 64.0 }) * warmth;
             // A part of a credit is a whole one for part of the time, by turns among the limiters: guards
             // against all of them sending their one trip to a quick or a fresh server at once. Turns of
             // half a second outlast most trips; the golden ratio spreads them evenly.
@@ -728,9 +728,10 @@
             if f64::from(server.out) + 1.0 > credits {
                 continue;
             }
-            // Every limiter sends a cold server its warm share times the warmth, far inside the
-            // multiple that all together may send; one trip a window is always within it.
-            if warmth < 1.0 && server.sends.sum(now) + 1.0 > (warm_sends * warmth).max(1.0) {
+            // All limiters together send a cold server what warm ones get, times the warmth, far inside the
+            // multiple allowed: a part of a trip a window is a whole one in some of the window's turns.
+            let part = if warm > 0.0 { warm_sends * warmth } else { 1.0 } - server.sends.sum(now);
+            if warmth < 1.0 && part < 1.0 && turn * secs(rules.fall_time) >= part * 0.5 {
                 continue;
             }
             let took = if server.took > 0.0 { server.took } else { self.usual };
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -275,6 +275,24 @@
     limiter.choose(at(2.0), 0)
 }
 
+#[test_case(false ; "cold")]
+#[test_case(true ; "struck and on trial")]
+fn many_limiters_do_not_all_try_a_weak_server_at_once(struck: bool) {
+    let tries = |me: u32| {
+        let mut limiter = limiter(Repeats::Replayable, Peers { me, ..many() });
+        limiter.servers = (0..2).map(|i| Some(Server::new(entry(i), &server_rules(), 90))).collect();
+        limiter.jobs = on_trip(Repeats::Replayable).jobs;
+        limiter.jobs[0].as_mut().into_iter().for_each(|open| open.trips.clear());
+        if let [Some(weak), Some(other)] = &mut limiter.servers[..] {
+            (weak.cold_since, weak.strikes) = ((!struck).then_some(at(1.9)), u32::from(struck));
+            other.out = 1;
+            (0..3).for_each(|_| other.sends.add(at(2.0), 1.0));
+        }
+        limiter.choose(at(2.0), 0).is_some()
+    };
+    assert!((0..90).filter(|&me| tries(me)).count() <= 4);
+}
+
 #[test]
 fn a_cold_server_gets_its_share_of_what_warm_ones_get() {
     let mut limiter = on_trip(Repeats::Replayable);
