--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -204,7 +204,7 @@
 // ---- Servers: credits, health, cold starts ----
 
 /// Six usual answers in a row unanswered hardly happen by chance; the bounds fit short outages. Where
-/// many more answers are lost than slow ones make up, waiting is worth less: at one in nine, half as long.
+/// many more are lost than slow ones make up, waiting is worth less: at one in nine, half as long.
 fn overdue_after(usual: f64, losing: f64) -> Duration {
     span((usual * 6.0 / (1.0 + 12.0 * (losing - 0.03).max(0.0))).clamp(0.1, 1.5))
 }
@@ -215,6 +215,14 @@
     job.is_multiple_of(4)
 }
 
+/// The level over all credits, from what all servers' answers take against what is long: with many limiters
+/// each hears too seldom from one server. Guards against limiters that die or lose their traffic and leave
+/// their parts unused. Some hundred answers double it; four times is what traffic of one hall needs.
+fn next_level(level: f64, strain: f64, pressed: bool) -> f64 {
+    let grown = if pressed && strain < 0.65 { 1.005 } else { 1.0 };
+    (level * if strain > 0.8 { 0.985 } else { grown }).clamp(1.0, 4.0)
+}
+
 impl Server {
     fn new(entry: RosterEntry, rules: &ServerRules, limiters: u32) -> Server {
         Server {
@@ -263,10 +271,9 @@
     }
 }
 
-/// How long the client has waited over earlier tries. First tries of a category come with one and the
-/// same time left; a rarer one is what the outer limit leaves of a later try, and so tells it. Guards
-/// the quota and the servers against retries that come too late to earn. It could harm where clients
-/// change their own time-outs: so it forgets fast, and says nothing while few tries are common ones.
+/// How long the client has waited over earlier tries. First tries of a category come with one and the same
+/// time left; a rarer one is what the outer limit leaves of a later try. Guards quota and servers against
+/// retries too late to earn. Clients that change their time-outs could suffer: so it forgets fast.
 fn elapsed(left: Duration, seen: &mut [f64], firsts: &mut f64, outer_limit: Duration) -> Duration {
     let steps = seen.len() - 2;
     let part = secs(left) / secs(outer_limit).max(0.001);
@@ -297,6 +304,7 @@
         Limiter {
             usual: fifth,
             calm: fifth,
+            level: 1.0,
             // Half a minute of buckets outlasts most surges.
             answers: Ring::new(Duration::from_secs(32)),
             answer_times: Ring::new(Duration::from_secs(32)),
@@ -317,8 +325,7 @@
         span((others / (0.75 * self.peers.inbox_per_s.max(1.0))).max(0.02))
     }
 
-    /// Counter answers come in a few ms; 20 ms keeps the calls under one a job. Without a counter a
-    /// tenth of a second is soon enough for what waits, also where letters are rarer.
+    /// Counter answers come in a few ms; a tenth of a second is soon enough for what waits without.
     fn beat(&self) -> Duration {
         let most = Duration::from_millis(if self.peers.counter { 20 } else { 100 });
         most.min(self.letter_interval())
@@ -376,8 +383,7 @@
         let gathers = self.gathers();
         let counted = self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
-        // And the way of a letter or a call, some tens of ms.
-        let blind = secs(interval) + 0.03;
+        let blind = secs(interval) + 0.03; // And the way of a letter or a call, some tens of ms.
         let i = self.account(now, job.customer, job.plan);
         let (account, peers) = (&mut self.accounts[i], self.peers);
         let plan = &self.plans[account.plan];
@@ -428,8 +434,8 @@
         self.queue.push(job.job);
     }
 
-    /// Drains the news: one add a customer where a counter is given, else one batch a peer, each told
-    /// only of the customers it shares. The emptiest quotas go first, the rest wait for the next time.
+    /// Drains the news: one add a customer where a counter is given, else one batch a peer, each told only of
+    /// the customers it shares. The emptiest quotas go first, the rest wait for the next time.
     fn sync(&mut self, now: Duration, out: &mut dyn Writer) {
         if self.gathers() {
             return self.gather(now, out);
@@ -494,12 +500,11 @@
         }
     }
 
-    /// The batch where one limiter of a set gathers: totals go to it, what is left comes back. Letters go
-    /// as the peers' inboxes take them, first to whom the emptiest quotas and the longest wait are due.
+    /// The batch where one limiter of a set gathers: totals go to it, and what is left comes back.
     fn gather(&mut self, now: Duration, out: &mut dyn Writer) {
         let peers = self.peers;
-        // Three quarters of an inbox, as every limiter sends as much as it takes in.
-        let room = 0.75 * peers.inbox_per_s * secs(self.beat());
+        let round = secs(self.letter_interval()).max(0.001);
+        let room = f64::from(peers.limiters) * secs(self.beat()) / round;
         self.letter_room = (self.letter_room + room).min(room + 4.0);
         let mut mail: Vec<(f64, Vec<Row>)> = vec![(0.0, Vec::new()); peers.limiters as usize];
         let (accounts, plans, owing) = (&mut self.accounts, &self.plans, &self.owing);
@@ -685,7 +690,7 @@
                 (warm, warm_sends) = (warm + 1.0, warm_sends + server.sends.sum(now));
             }
             if now >= server.benched_until {
-                credits += server.credits * server.warmth(now, rules);
+                credits += server.credits * self.level * server.warmth(now, rules);
                 busy += f64::from(server.out);
             }
         }
@@ -699,7 +704,8 @@
         let mut best: Option<(f64, u32)> = None;
         for (i, server) in self.servers.iter_mut().enumerate() {
             let Some(server) = server else { continue };
-            if !server.listed || now < server.benched_until {
+            let has_one = open.trips.iter().any(|trip| trip.out && trip.server == i as u32);
+            if has_one || !server.listed || now < server.benched_until {
                 continue;
             }
             if let (Some(origin), Repeats::Referenced(group, _)) = (origin, category.repeats)
@@ -709,18 +715,14 @@
                 continue;
             }
             let tried = open.trips.iter().filter(|trip| trip.server == i as u32).count();
-            if open.trips.iter().any(|trip| trip.out && trip.server == i as u32) {
-                continue;
-            }
             let warmth = server.warmth(now, rules);
             if warmth >= 1.0 {
                 server.cold_since = None;
             }
             let trial = server.strikes > 0 || server.fails(self.erring);
-            let credits = server.credits.min(if trial { 1.0 } else { 64.0 }) * warmth;
-            // A part of a credit is a whole one for part of the time, by turns among the limiters: guards
-            // against all of them sending their one trip to a quick or a fresh server at once. Turns of
-            // half a second outlast most trips; the golden ratio spreads them evenly.
+            let credits = if trial { server.credits.min(1.0) } else { server.credits * self.level } * warmth;
+            // A part of a credit is a whole one for part of the time, by turns among the limiters: not all
+            // send to one server at once. Half a second outlasts most trips, the golden ratio is even.
             let turn = i as f64 * 0.618 + secs(now).div_euclid(0.5) * 0.382;
             let turn = (turn + f64::from(self.peers.me) / f64::from(self.peers.limiters)).fract();
             let credits = credits.floor() + f64::from(u8::from(turn < credits.fract()));
@@ -812,10 +814,13 @@
             if !unanswered
                 && !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent)
             {
-                // Four tenths of the target time leave room for the slower answers; beyond three and a
-                // half calm ones a server only queues, and some do less the more they hold.
-                let long = (target * 0.4).min(self.calm * 2.5);
+                // Four tenths of the target time leave room; beyond 2.5 calm ones servers only queue.
+                let long = (target * 0.4).min(self.calm * 2.5).max(0.001);
                 server.pace(now, took, long, floor, pressed);
+                // A client that gave up would have waited longer: thrice as long stands for it.
+                let felt = if end.ending == Ending::Expired { took.max(3.0 * long) } else { took };
+                self.strain += (felt / long - self.strain) * 0.03;
+                self.level = next_level(self.level, self.strain, pressed);
             }
             match end.ending {
                 Ending::Fulfilled => {
@@ -887,8 +892,8 @@
 
     /// A streamed answer has begun: its server is not silent, and the trip is never taken back.
     fn answer_begins(&mut self, now: Duration, job: u32) {
-        let Some(open) = self.jobs.get_mut(job as usize).and_then(|open| open.as_mut()) else { return };
-        for trip in open.trips.iter_mut().filter(|trip| trip.out) {
+        let open = self.jobs.get_mut(job as usize).into_iter().flatten();
+        for trip in open.flat_map(|open| &mut open.trips).filter(|trip| trip.out) {
             trip.revoked = true;
             self.servers[trip.server as usize].iter_mut().for_each(|server| server.owing_since = now);
         }
@@ -945,8 +950,7 @@
             return;
         }
         let mut queue = std::mem::take(&mut self.queue);
-        // What gains less than half as much for its time, by the target time, goes after: overload then
-        // sheds low gain first, and near equals fare alike.
+        // What gains less than half as much for its target time goes after; near equals fare alike.
         let worth = |open: &OpenJob| {
             let category = &self.categories[open.job.category];
             category.gain * self.plans[open.job.plan].price / secs(category.target_time).max(0.001)
@@ -961,8 +965,7 @@
                 continue;
             };
             let (target, give_up) = (open.target, open.give_up);
-            // Guards against giving everything up for good: slow answers must not raise the bar so far
-            // that nothing is sent and no faster answer is ever seen. Half the target time bounds it.
+            // Half the target time bounds it: slow answers must not stop all sending for good.
             let least = secs(self.categories[open.job.category].target_time) / 2.0;
             let hopeless = now + span((self.usual * 1.5).min(least)) >= target.min(give_up);
             if hopeless || !self.may_send_again(now, job) {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -430,6 +430,15 @@
     notes.lines.len()
 }
 
+#[test_case(2.0, 0.4, true => 2.01 ; "quick answers while jobs wait raise it")]
+#[test_case(2.0, 0.4, false => 2.0 ; "nothing waits")]
+#[test_case(2.0, 0.9, true => 1.97 ; "long answers cut it")]
+#[test_case(1.0, 0.9, true => 1.0 ; "never under what the credits say")]
+#[test_case(4.0, 0.1, true => 4.0 ; "nor over four times")]
+fn level_over_credits(level: f64, strain: f64, pressed: bool) -> f64 {
+    (next_level(level, strain, pressed) * 1000.0).round() / 1000.0
+}
+
 #[test_case(0.02, 0.6 ; "a slow answer is waited for")]
 #[test_case(0.12, 0.288 ; "less so where many are lost")]
 #[test_case(0.9, 0.1 ; "but no less than a tenth of a second")]
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -189,6 +189,9 @@
     pub(crate) erring: f64,
     /// Share of trips whose answer was long overdue.
     pub(crate) losing: f64,
+    /// How long answers of all servers take against what is long, and the level over the credits it gives.
+    pub(crate) strain: f64,
+    pub(crate) level: f64,
     /// Servers had credit to spare at the last choice.
     pub(crate) idle: bool,
     /// What answers take while servers are calm, and what tells it.
@@ -292,6 +295,8 @@
             job_rules,
             chance: WyRand::new_seed(seed),
             erring: 0.0,
+            strain: 0.0,
+            level: 0.0,
             losing: 0.0,
             idle: false,
             accounts: Vec::new(),
