--- a/crates/merlinreel-benchlink/src/host/tests.rs
+++ b/crates/merlinreel-benchlink/src/host/tests.rs
@@ -83,6 +83,8 @@
 #[test_case("POOL 1 2\nENTRY server.q 0 0 0 U 1 -\nROUND 9", "list 1 is 1 entries short" ; "list cut short")]
 #[test_case("ENTRY server.q 0 0 0 U 1 -", "no list is open" ; "entry outside a list")]
 #[test_case("CONTEXT limiter/0\nINIT 5 balancers", "settings: 'balancers' is no path=value" ; "broken settings")]
+#[test_case("CONTEXT limiter/0\nINIT 5 balancers=1e9", "setting balancers: 1000000000 is out of range" ; "absurd size")]
+#[test_case("CONTEXT limiter/0\nINIT 5 balancers=2 rank=5", "setting rank: 5 is not among 2" ; "rank beyond")]
 fn what_is_malformed_gets_one_plain_line(lines: &str, complaint: &str) {
     assert_eq!(play(&mut started(), lines).1, [complaint]);
 }
--- a/crates/merlinreel-benchlink/src/start.rs
+++ b/crates/merlinreel-benchlink/src/start.rs
@@ -99,9 +99,18 @@
     let plans = (0..pairs.length("packages.count")?)
         .map(|i| plan(&pairs, &format!("packages.{i}")))
         .collect::<Result<Vec<_>, _>>()?;
+    let limiters = pairs.number("balancers")?.max(1.0);
+    // As many as a message can name.
+    if limiters > 65536.0 {
+        return Err(format!("setting balancers: {limiters} is out of range"));
+    }
+    let rank = pairs.number("rank")?;
+    if !(0.0..limiters).contains(&rank) {
+        return Err(format!("setting rank: {rank} is not among {limiters}"));
+    }
     let peers = Peers {
-        limiters: pairs.number("balancers")?.max(1.0) as u32,
-        me: pairs.number("rank")? as u32,
+        limiters: limiters as u32,
+        me: rank as u32,
         letters: pairs.flag("policyLimits.peers")?,
         inbox_per_s: pairs.number("familyInfo.inboxPerS")?,
         counter: pairs.flag("familyInfo.hasCounter")?,
