--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -381,7 +381,7 @@
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
         let gathers = self.gathers();
-        let counted = self.peers.counter && now >= self.behind_until;
+        let counted = gathers || self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
         let blind = secs(interval) + 0.03; // And the way of a letter or a call, some tens of ms.
         let i = self.account(now, job.customer, job.plan);
