--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -16,6 +16,8 @@
     if plan.rate > 0.0 { (plan.burst / plan.rate).max(0.1) } else { 1.0 }
 }
 
+/// What is asked is measured over some reports of each limiter, and soon forgotten after a burst.
+const ASKED_OVER: Duration = Duration::from_secs(3);
 /// How long one that asked is told by the gatherer; who goes on using a customer asks sooner again.
 const LISTENED: Duration = Duration::from_secs(5);
 
@@ -36,6 +38,7 @@
             window,
             carried: plan.burst - plan.rate * refill,
             ceiling_at: now,
+            asked_units: Ring::new(ASKED_OVER),
             ..Account::default()
         }
     }
@@ -124,7 +127,8 @@
         let told = (0..all).filter(|&p| told(0, p) || told(1, p)).count() as f64;
         let used = self.others(0) + self.others(1);
         let others = if peers.counter && used > 0.0 { set - 1.0 } else { told };
-        let pace = self.pace_of(now, plan, (self.tries.iter().sum::<f64>() * others).max(used));
+        let seen_for = secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan);
+        let pace = (self.tries.iter().sum::<f64>() * others).max(used) / seen_for.max(0.1);
         // Twice what is expected of them, as they come in bursts.
         1.0 + others.min(2.0 * pace * blind)
     }
@@ -174,7 +178,7 @@
     /// Tells who asked of late, where what is left is not what they must think.
     fn tell_listeners(&mut self, now: Duration, plan: &Plan) {
         let left = self.left(now, plan);
-        let asked = self.asked(now, plan);
+        let asked = self.asked(now);
         let thought = draw(self.thought(now, plan), self.pace.unwrap_or(0.0), plan);
         let true_one = draw(left, asked, plan);
         // A third more or less is no more than use varies by chance.
@@ -191,13 +195,9 @@
         (self.told_left + refill * secs(now.saturating_sub(self.told_at))).min(plan.burst)
     }
 
-    /// A second's part of what this window and the last one brought; so of the units asked for.
-    fn pace_of(&self, now: Duration, plan: &Plan, both: f64) -> f64 {
-        both / (secs(now) - (self.window.saturating_sub(1)) as f64 * window_length(plan)).max(0.1)
-    }
-
-    fn asked(&self, now: Duration, plan: &Plan) -> f64 {
-        self.pace_of(now, plan, self.tries.iter().sum())
+    /// Units asked for in a second of late.
+    fn asked(&mut self, now: Duration) -> f64 {
+        self.asked_units.sum(now) / secs(ASKED_OVER)
     }
 }
 
@@ -380,8 +380,7 @@
     }
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
-        let gathers = self.gathers();
-        let counted = gathers || self.peers.counter && now >= self.behind_until;
+        let counted = self.gathers() || self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
         let blind = secs(interval) + 0.03; // And the way of a letter or a call, some tens of ms.
         let i = self.account(now, job.customer, job.plan);
@@ -392,8 +391,9 @@
         }
         (account.set_size, account.set_first) = (job.set_size.max(1), job.set_first);
         account.roll(now, plan);
-        account.tries[0] += if gathers { job.units } else { 1.0 };
+        account.tries[0] += 1.0;
         account.unasked += job.units;
+        account.asked_units.add(now, job.units);
         let category = &self.categories[job.category];
         let (seen, firsts) = &mut self.left_seen[job.category];
         let elapsed = elapsed(job.time_left, seen, firsts, category.outer_limit);
@@ -517,7 +517,7 @@
                 account.tell_listeners(now, plan);
                 (account.news, account.due[0], account.unasked) = ([0, 0], false, 0.0);
             }
-            let (left, pace) = (account.left(now, plan), account.asked(now, plan));
+            let (left, pace) = (account.left(now, plan), account.asked(now));
             let need = 1.25 - (left / plan.burst.max(1.0)).clamp(0.0, 1.0);
             let mut add = |to: u32, i: usize, total, asked, left| {
                 let row = Row { total, asked: Some(asked), left, ..account.row(i) };
@@ -607,7 +607,7 @@
             let Some(left) = row.left else {
                 account.hear(now, plan, from, window, row.total, floor);
                 if let Some(asked) = row.asked {
-                    account.tries[0] += asked;
+                    account.asked_units.add(now, asked);
                     account.listeners.retain(|listener| listener.peer != letter.from);
                     account.listeners.push(Listener { peer: letter.from, heard: now, owed: true });
                 }
@@ -633,9 +633,8 @@
         let Some(&i) = self.by_customer.get(&answer.customer) else { return };
         let account = &mut self.accounts[i];
         account.stir(i, &mut self.stirred);
-        let Some((window, own, amount)) = account.calling.filter(|call| call.0 == answer.window) else {
-            return;
-        };
+        let call = account.calling.filter(|call| call.0 == answer.window);
+        let Some((window, own, amount)) = call else { return };
         account.calling = None;
         account.roll(now, &self.plans[account.plan]);
         match (answer.total, account.place(window)) {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -171,6 +171,14 @@
     draw(left, pace, &plan())
 }
 
+#[test_case(2.0 => 10.0 ; "thirty units within three seconds")]
+#[test_case(6.0 => 0.0 ; "a burst is soon forgotten")]
+fn units_asked_for_of_late(read_at: f64) -> f64 {
+    let mut account = Account::new(5, 0, &plan(), many(), at(1.0));
+    account.asked_units.add(at(1.0), 30.0);
+    account.asked(at(read_at))
+}
+
 #[test_case(4 => true ; "some letters are lost")]
 #[test_case(5 => false ; "five unanswered are silence: the next of the set gathers")]
 fn gathering_limiter(unanswered: u32) -> bool {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -109,6 +109,8 @@
     pub untold: f64,
     /// Units asked for a second, as the gatherer tells; none where nobody gathers.
     pub pace: Option<f64>,
+    /// Units asked for of late, at all limiters that report here.
+    pub asked_units: Ring,
     /// Units asked for that the gatherer was not told of, and when it was told last.
     pub unasked: f64,
     pub asked_at: Duration,
