--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -9,6 +9,11 @@
 use crate::*;
 use nanorand::Rng;
 
+/// Rows that surely fit into the one letter that a peer's inbox takes: twelve bytes of head, nine a row.
+const ROWS: usize = (letter::MOST_BYTES - 12) / 9;
+/// Buckets of all rings: what is measured is then true to an eighth.
+pub(crate) const BUCKETS: usize = 8;
+
 // ---- Quotas: one account per customer, counted in clock-aligned windows ----
 
 /// The window's length starts as the design has it: the store's size over its rate.
@@ -261,8 +266,7 @@
     fn strike(&mut self, now: Duration) {
         self.strikes += 1;
         // From a quarter second, about a round of answers, up to 4 s, a fair part of a short outage.
-        let rest = 0.125 * f64::from(1u32 << self.strikes.min(5));
-        self.benched_until = now + span(rest);
+        self.benched_until = now + span(0.125 * f64::from(1u32 << self.strikes.min(5)));
     }
 
     /// Fails far more than the fleet: what all servers share is not this one's doing.
@@ -486,8 +490,7 @@
             let account = &mut self.accounts[account];
             for i in [1, 0] {
                 let told = (0..limiters).filter(|&p| p != me && account.includes(p, limiters));
-                // One letter a peer is what its inbox takes.
-                let full = told.clone().any(|p| rows[p as usize].len() >= letter::ROWS);
+                let full = told.clone().any(|p| rows[p as usize].len() >= ROWS);
                 if account.news[i] > 0 && !full {
                     told.for_each(|p| rows[p as usize].push(account.row(i)));
                     account.news[i] -= 1;
@@ -503,8 +506,7 @@
     /// The batch where one limiter of a set gathers: totals go to it, and what is left comes back.
     fn gather(&mut self, now: Duration, out: &mut dyn Writer) {
         let peers = self.peers;
-        let round = secs(self.letter_interval()).max(0.001);
-        let room = f64::from(peers.limiters) * secs(self.beat()) / round;
+        let room = f64::from(peers.limiters) * secs(self.beat()) / secs(self.letter_interval());
         self.letter_room = (self.letter_room + room).min(room + 4.0);
         let mut mail: Vec<(f64, Vec<Row>)> = vec![(0.0, Vec::new()); peers.limiters as usize];
         let (accounts, plans, owing) = (&mut self.accounts, &self.plans, &self.owing);
@@ -547,7 +549,7 @@
             self.told_peer[p as usize] = now;
             let rows = &mut mail[p as usize].1;
             // Rows with two numbers more; what does not fit waits for the next letter.
-            rows.truncate(letter::ROWS * 2 / 3);
+            rows.truncate(ROWS * 2 / 3);
             self.owing[p as usize] += u32::from(rows.iter().any(|row| row.left.is_none()));
             for row in rows.iter() {
                 let account = &mut self.accounts[self.by_customer[&row.customer]];
@@ -963,10 +965,9 @@
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done && open.queued) else {
                 continue;
             };
-            let (target, give_up) = (open.target, open.give_up);
             // Half the target time bounds it: slow answers must not stop all sending for good.
             let least = secs(self.categories[open.job.category].target_time) / 2.0;
-            let hopeless = now + span((self.usual * 1.5).min(least)) >= target.min(give_up);
+            let hopeless = now + span((self.usual * 1.5).min(least)) >= open.target.min(open.give_up);
             if hopeless || !self.may_send_again(now, job) {
                 self.give_up(now, job, out);
                 continue;
--- a/crates/merlinreel-core/src/letter.rs
+++ b/crates/merlinreel-core/src/letter.rs
@@ -56,9 +56,6 @@
     ((value >> 1) as i64 ^ -((value & 1) as i64)) as f64 / STEPS
 }
 
-/// Rows without a quota left that surely fit into one letter.
-pub const ROWS: usize = (MOST_BYTES - 12) / 9;
-
 /// Writes rows into as many letters as they need, numbered from the head's number on.
 pub fn write(mut head: Head, rows: &[Row]) -> Vec<Vec<u8>> {
     let begin = |head: &Head| {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that the module keeps, and how it is measured over time; nothing is decided here.
 
+use crate::decide::BUCKETS;
 use crate::letter::Row;
 use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules};
 use nanorand::WyRand;
@@ -28,27 +29,27 @@
 pub struct Ring {
     pub width: f64,
     pub slot: u64,
-    pub sums: [f64; 8],
+    pub sums: [f64; BUCKETS],
     /// Nothing in it at the last reading, nor added since: read often, it need not turn.
     pub empty: bool,
 }
 
 impl Ring {
     pub fn new(length: Duration) -> Ring {
-        Ring { width: (secs(length) / 8.0).max(0.001), slot: 0, sums: [0.0; 8], empty: true }
+        Ring { width: (secs(length) / BUCKETS as f64).max(0.001), slot: 0, sums: [0.0; BUCKETS], empty: true }
     }
 
     pub fn turn(&mut self, now: Duration) {
         let slot = (secs(now) / self.width) as u64;
-        for passed in (self.slot + 1..=slot).rev().take(8) {
-            self.sums[passed as usize % 8] = 0.0;
+        for passed in (self.slot + 1..=slot).rev().take(BUCKETS) {
+            self.sums[passed as usize % BUCKETS] = 0.0;
         }
         self.slot = self.slot.max(slot);
     }
 
     pub fn add(&mut self, now: Duration, amount: f64) {
         self.turn(now);
-        self.sums[self.slot as usize % 8] += amount;
+        self.sums[self.slot as usize % BUCKETS] += amount;
         self.empty = false;
     }
 
@@ -64,7 +65,7 @@
         }
         self.turn(now);
         let sum = self.sums.iter().sum();
-        self.empty = self.sums == [0.0; 8];
+        self.empty = self.sums == [0.0; BUCKETS];
         sum
     }
 }
