--- a/crates/merlinreel-benchlink/src/host.rs
+++ b/crates/merlinreel-benchlink/src/host.rs
@@ -1,8 +1,8 @@
 //! Hosts the instances: decodes a batch into one call for each, and encodes the replies.
 
-use crate::start;
 use merlinreel_core::decide::Limiter;
 use merlinreel_core::*;
+use merlinreel_settings::{Paths, Terms};
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -377,7 +377,7 @@
         let seed = values.integer("entropy")?;
         let settings: Vec<&str> = values.0.by_ref().collect();
         let instance = Instance {
-            limiter: start::limiter(seed, &settings)?,
+            limiter: Terms::read(&Paths::from_pairs(&settings)?)?.limiter(seed),
             servers: Names::default(),
             jobs: Names::default(),
             states: Vec::new(),
--- a/crates/merlinreel-benchlink/src/main.rs
+++ b/crates/merlinreel-benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! The bench's adapter: batches on standard input, one reply for each on standard output.
 
 mod host;
-mod start;
 
 use std::io::{self, BufRead, Write};
 
--- /dev/null
+++ b/crates/merlinreel-settings/src/lib.rs
@@ -0,0 +1,238 @@
+//! Reads the operators' settings, given by path, into what the module is started with. The bench gives
+//! `path=value` pairs, the limiter's configuration nested JSON; both name the same things.
+
+use merlinreel_core::decide::Limiter;
+use merlinreel_core::{Category, Group, JobRules, Peers, Plan, Repeats, ServerRules};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Values by their path; unknown paths are skipped, absent ones read as nothing.
+#[derive(Debug, Default)]
+pub struct Paths(HashMap<String, String>);
+
+impl Paths {
+    pub fn from_pairs(pairs: &[&str]) -> Result<Paths, String> {
+        let mut map = HashMap::new();
+        for pair in pairs {
+            match pair.split_once('=') {
+                Some((path, value)) => map.insert(path.to_owned(), value.to_owned()),
+                None => return Err(format!("settings: '{pair}' is no path=value")),
+            };
+        }
+        Ok(Paths(map))
+    }
+
+    pub fn from_json(value: &Value) -> Result<Paths, String> {
+        if !value.is_object() {
+            return Err("settings: not an object".to_owned());
+        }
+        let mut map = HashMap::new();
+        flatten("", value, &mut map);
+        Ok(Paths(map))
+    }
+
+    fn text(&self, path: &str) -> &str {
+        self.0.get(path).map_or("-", String::as_str)
+    }
+
+    fn number(&self, path: &str) -> Result<f64, String> {
+        match self.text(path) {
+            "-" | "" => Ok(0.0),
+            text => match text.parse::<f64>() {
+                Ok(value) if value.is_finite() && value >= 0.0 => Ok(value),
+                _ => Err(format!("setting {path}: '{text}' is not a number from 0")),
+            },
+        }
+    }
+
+    fn time(&self, path: &str) -> Result<Duration, String> {
+        let seconds = self.number(path)?;
+        Duration::try_from_secs_f64(seconds).map_err(|_| format!("setting {path}: {seconds} is no time"))
+    }
+
+    fn flag(&self, path: &str) -> Result<bool, String> {
+        match self.text(path) {
+            "true" | "1" => Ok(true),
+            "false" | "0" | "-" | "" => Ok(false),
+            text => Err(format!("setting {path}: '{text}' is neither true nor false")),
+        }
+    }
+
+    fn length(&self, path: &str) -> Result<usize, String> {
+        match self.number(path)? {
+            n if n <= 4096.0 => Ok(n as usize),
+            n => Err(format!("setting {path}: {n} is too many")),
+        }
+    }
+
+    /// A list of plain values.
+    fn names(&self, path: &str) -> Vec<String> {
+        let text = self.0.get(path).map_or("", String::as_str);
+        text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect()
+    }
+}
+
+/// As the bench writes them: a list of objects by `.count` and numbers, one of plain values with commas.
+fn flatten(path: &str, value: &Value, map: &mut HashMap<String, String>) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    let plain = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Object(members) => members.iter().for_each(|(key, value)| flatten(&below(key), value, map)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            map.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, item)| flatten(&below(&i.to_string()), item, map));
+        }
+        Value::Array(items) => {
+            // An empty list may stand for one of objects too.
+            map.insert(below("count"), items.len().to_string());
+            map.insert(path.to_owned(), items.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        other => {
+            map.insert(path.to_owned(), plain(other));
+        }
+    }
+}
+
+/// What a limiter and its module are started with.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub plans: Vec<Plan>,
+    pub categories: Vec<Category>,
+    pub peers: Peers,
+    pub servers: ServerRules,
+    pub jobs: JobRules,
+    pub wire: Wire,
+}
+
+/// What only sockets need: the names on them, and what servers do with connections.
+#[derive(Clone, Debug, Default)]
+pub struct Wire {
+    pub plans: Vec<String>,
+    pub categories: Vec<String>,
+    pub zones: Vec<String>,
+    /// A server closes a connection idle for this long.
+    pub server_idle: Duration,
+    /// A connection not up by then is given up.
+    pub connect_within: Duration,
+    /// Any answer may carry a load report.
+    pub loads_in_answers: bool,
+    /// Only a probe's answer may.
+    pub loads_in_probes: bool,
+}
+
+impl Terms {
+    pub fn read(paths: &Paths) -> Result<Terms, String> {
+        let each = |list: &str| -> Result<Vec<String>, String> {
+            Ok((0..paths.length(&format!("{list}.count"))?).map(|i| format!("{list}.{i}")).collect())
+        };
+        let (lanes, tariffs) = (each("classes")?, each("packages")?);
+        let name = |at: &String| paths.text(&format!("{at}.name")).to_owned();
+        let how = paths.text("report.how");
+        Ok(Terms {
+            plans: tariffs.iter().map(|at| plan(paths, at)).collect::<Result<_, _>>()?,
+            categories: lanes.iter().map(|at| category(paths, at)).collect::<Result<_, _>>()?,
+            peers: peers(paths)?,
+            servers: ServerRules {
+                zone: paths.number("zone")? as u32,
+                drain_grace: paths.time("rules.drainGraceS")?,
+                start_share: paths.number("rules.startCapacity")?,
+                warm_after: paths.time("rules.coldS")?,
+                fall_factor: paths.number("rules.overloadFactor")?,
+                fall_time: paths.time("rules.fallS")?,
+                roster_on_request: paths.text("discovery") == "subscribe",
+                ask_within: paths.time("rules.askWithinS")?,
+                probes: paths.flag("policyLimits.probes")?,
+            },
+            jobs: JobRules {
+                most_trips: paths.number("policyLimits.sendCap")?.max(1.0) as u32,
+                second_copies: paths.flag("policyLimits.secondCopies")?,
+                may_revoke: paths.flag("policyLimits.mayCancel")?,
+                retry_after: paths.flag("policyLimits.retryAfter")?,
+                longest_retry_after: paths.time("policyLimits.maxRetryAfterS")?,
+                most_held: paths.number("policyLimits.mostHeld")? as usize,
+            },
+            wire: Wire {
+                plans: tariffs.iter().map(name).collect(),
+                categories: lanes.iter().map(name).collect(),
+                zones: paths.names("dcs"),
+                server_idle: paths.time("policyLimits.connIdleS")?,
+                connect_within: paths.time("policyLimits.connectTimeoutS")?,
+                loads_in_answers: how == "answers",
+                loads_in_probes: how == "answers" || how == "probe",
+            },
+        })
+    }
+
+    pub fn limiter(&self, seed: u64) -> Limiter {
+        let (plans, categories) = (self.plans.clone(), self.categories.clone());
+        Limiter::new(seed, plans, categories, self.peers, self.servers, self.jobs)
+    }
+}
+
+fn category(paths: &Paths, at: &str) -> Result<Category, String> {
+    let repeats = match paths.text(&format!("{at}.idempotency")) {
+        "read_like" => Repeats::Replayable,
+        "idempotency_key" => {
+            let group = match paths.text(&format!("{at}.group")) {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return Err(format!("setting {at}.group: unknown '{other}'")),
+            };
+            Repeats::Referenced(group, paths.time(&format!("{at}.keyTtlS"))?)
+        }
+        "non_idempotent" => Repeats::SingleUse,
+        other => return Err(format!("setting {at}.idempotency: unknown '{other}'")),
+    };
+    Ok(Category {
+        target_time: paths.time(&format!("{at}.promiseS"))?,
+        outer_limit: paths.time(&format!("{at}.hardLimitS"))?,
+        gain: paths.number(&format!("{at}.worth"))?,
+        late_gain: paths.number(&format!("{at}.lateShare"))?,
+        repeats,
+    })
+}
+
+fn plan(paths: &Paths, at: &str) -> Result<Plan, String> {
+    let number = |name: &str| paths.number(&format!("{at}.{name}"));
+    Ok(Plan {
+        rate: number("unitsPerS")?,
+        burst: number("mostAtOnce")?,
+        most_open: number("maxOut")? as u32,
+        ceiling_rate: number("ceilingRate")?,
+        ceiling_depth: number("capDepth")?,
+        ceiling_slack: number("capSlack")?,
+        price: number("price")?,
+        beyond_cost: number("overrunCost")?,
+        beyond_gain: number("beyondEarns")?,
+    })
+}
+
+fn peers(paths: &Paths) -> Result<Peers, String> {
+    let limiters = paths.number("balancers")?.max(1.0);
+    // As many as a message can name.
+    if limiters > 65536.0 {
+        return Err(format!("setting balancers: {limiters} is out of range"));
+    }
+    let rank = paths.number("rank")?;
+    if !(0.0..limiters).contains(&rank) {
+        return Err(format!("setting rank: {rank} is not among {limiters}"));
+    }
+    Ok(Peers {
+        limiters: limiters as u32,
+        me: rank as u32,
+        letters: paths.flag("policyLimits.peers")?,
+        inbox_per_s: paths.number("familyInfo.inboxPerS")?,
+        counter: paths.flag("familyInfo.hasCounter")?,
+        settles: paths.flag("familyInfo.settles")?,
+        most_units: paths.number("familyInfo.maxUnits")?.max(1.0),
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/merlinreel/src/clients.rs
@@ -0,0 +1,364 @@
+//! Clients' connections: takes jobs in, hands them to the driver, and gives each one answer.
+
+use crate::driver::{Answer, Arrival, News, Parcel, Queue};
+use crate::limits::Limits;
+use crate::log;
+use crate::servers::strip_hop_by_hop;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use merlinreel_core::{Job, Repeats};
+use merlinreel_settings::Terms;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
+use tokio::time::{sleep, timeout_at};
+
+const TXN: HeaderName = HeaderName::from_static("x-txn");
+const LANE: HeaderName = HeaderName::from_static("x-lane");
+const PLAN: HeaderName = HeaderName::from_static("x-plan");
+const REMAINING: HeaderName = HeaderName::from_static("x-remaining");
+const QUOTA: HeaderName = HeaderName::from_static("x-quota");
+const RESENT: HeaderName = HeaderName::from_static("x-resent");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Customers' numbers lie under this.
+const CUSTOMERS: u64 = 1 << 33;
+/// More units than any job may draw: sums of them stay exact.
+const MOST_UNITS: f64 = 1e9;
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, String> {
+    let value = headers.get(name).ok_or_else(|| format!("{name} is missing"))?;
+    value.to_str().map_err(|_| format!("{name} is no text"))
+}
+
+/// A number followed by its unit, milliseconds or microseconds.
+fn remaining(text: &str) -> Option<Duration> {
+    let number = |digits: &str| digits.parse::<u32>().ok().map(u64::from);
+    match text.strip_suffix('m') {
+        Some(digits) => number(digits).map(Duration::from_millis),
+        None => text.strip_suffix('u').and_then(number).map(Duration::from_micros),
+    }
+}
+
+/// Reads a job from a request's head: its category, customer, plan and quota, and the time the client waits.
+pub fn decode(head: &Parts, terms: &Terms) -> Result<Job, String> {
+    let path = head.uri.path().trim_start_matches('/');
+    let lane = path.split('/').next().unwrap_or(path);
+    if let Some(value) = head.headers.get(LANE)
+        && value != lane
+    {
+        return Err("the path and x-lane name two categories".to_owned());
+    }
+    let category = terms.wire.categories.iter().position(|name| name == lane);
+    let category = category.ok_or_else(|| format!("category '{lane}' is unknown"))?;
+    let plan = text(&head.headers, &PLAN)?;
+    let plan = terms.wire.plans.iter().position(|name| name == plan);
+    let plan = plan.ok_or("x-plan: unknown")?;
+    text(&head.headers, &TXN)?;
+    let keyed = matches!(terms.categories[category].repeats, Repeats::Referenced(..));
+    if keyed && !head.headers.contains_key(IDEMPOTENCY_KEY) {
+        return Err("idempotency-key is missing".to_owned());
+    }
+    let pairs = head.uri.query().unwrap_or_default().split('&');
+    let key = pairs.filter_map(|pair| pair.strip_prefix("key=")).next().ok_or("key is missing")?;
+    let customer = u64::from_str_radix(key, 16).ok().filter(|&number| number < CUSTOMERS);
+    let customer = customer.ok_or("key: no customer's number")?;
+    let (mut units, mut set_size, mut set_first) = (1.0, 1, 0);
+    for pair in text(&head.headers, &QUOTA)?.split(',') {
+        let (name, value) = pair.trim().split_once('=').ok_or("x-quota: no name=value")?;
+        let number = value.parse::<f64>().ok().filter(|number| (0.0..=MOST_UNITS).contains(number));
+        let number = number.ok_or_else(|| format!("x-quota: {name} is no number in range"))?;
+        match name {
+            "units" => units = number,
+            "spread" => set_size = number as u32,
+            "first" => set_first = number as u32,
+            _ => {}
+        }
+    }
+    if !(1..=terms.peers.limiters).contains(&set_size) || set_first >= terms.peers.limiters {
+        return Err(format!("x-quota: no set among {} limiters", terms.peers.limiters));
+    }
+    let time_left =
+        remaining(text(&head.headers, &REMAINING)?).ok_or("x-remaining: no number with m or u")?;
+    let again = head.headers.get(RESENT).is_some_and(|value| value == "1");
+    Ok(Job { job: 0, customer, plan, category, units, time_left, set_size, set_first, again })
+}
+
+fn respond(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
+
+fn last(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// An answer as the client gets it.
+fn encode(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Fulfilled(delivery) => {
+            let mut response = Response::new(Full::new(delivery.body));
+            *response.headers_mut() = delivery.headers;
+            response
+        }
+        Answer::Deferred(wait) => {
+            let mut response = respond(StatusCode::TOO_MANY_REQUESTS, String::new());
+            let value =
+                wait.and_then(|wait| HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())).ok());
+            value.map(|value| response.headers_mut().insert(RETRY_AFTER, value));
+            response
+        }
+        Answer::Scrapped => respond(StatusCode::BAD_GATEWAY, "scrapped\n".to_owned()),
+    }
+}
+
+/// One client's connection.
+struct Guest {
+    /// Beyond what is served at once: it is told so.
+    surplus: bool,
+    busy: AtomicBool,
+    idle_since: Mutex<Instant>,
+    close: Notify,
+    /// A place in the queue for the news that the client has left; it can leave but once.
+    leaving: Mutex<Option<mpsc::OwnedPermit<News>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Tells the driver that the client has left, unless its job has been answered.
+struct Attending<'a> {
+    guest: &'a Guest,
+    ticket: Option<u64>,
+}
+
+impl Drop for Attending<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket
+            && let Some(place) = lock(&self.guest.leaving).take()
+        {
+            place.send(News::Left(ticket));
+        }
+    }
+}
+
+/// What all clients' connections share.
+pub struct Door {
+    limits: Limits,
+    terms: Terms,
+    queue: Queue,
+    tickets: AtomicU64,
+    stopping: AtomicBool,
+    guests: Mutex<HashMap<u64, Arc<Guest>>>,
+}
+
+impl Door {
+    pub fn new(limits: Limits, terms: Terms, queue: Queue) -> Arc<Door> {
+        Arc::new(Door {
+            limits,
+            terms,
+            queue,
+            tickets: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            guests: Mutex::new(HashMap::new()),
+        })
+    }
+
+    /// Takes connections until the stop, serves on while they come, and returns once nothing is in hand.
+    pub async fn attend(self: Arc<Door>, listener: TcpListener, stop: impl Future<Output = ()>) {
+        let places = Arc::new(Semaphore::new(self.limits.clients_most));
+        tokio::pin!(stop);
+        tokio::select! {
+            () = self.accept(&listener, &places) => {}
+            () = &mut stop => {}
+        }
+        log!("asked to stop: serving on for a moment, then finishing what is in hand");
+        self.stopping.store(true, Ordering::Relaxed);
+        let (least, most) = (self.limits.stop_least, self.limits.stop_most);
+        let asked = Instant::now();
+        tokio::select! {
+            () = self.accept(&listener, &places) => {}
+            () = sleep(most) => {}
+            () = async {
+                sleep(least).await;
+                self.quiet(asked).await;
+            } => {}
+        }
+        // From here on connections are closed between requests; new ones are served once.
+        tokio::select! {
+            () = self.accept(&listener, &places) => {}
+            () = async {
+                loop {
+                    lock(&self.guests).values().for_each(|guest| guest.close.notify_one());
+                    let busy = lock(&self.guests).values().any(|guest| guest.busy.load(Ordering::Relaxed));
+                    if !busy && self.idle_for(asked) >= self.limits.stop_quiet {
+                        return;
+                    }
+                    sleep(self.limits.stop_quiet / 10).await;
+                }
+            } => {}
+        }
+    }
+
+    /// How long nobody has come or asked for anything.
+    fn idle_for(&self, since: Instant) -> Duration {
+        let guests = lock(&self.guests);
+        let last =
+            guests.values().map(|guest| *lock(&guest.idle_since)).max().map_or(since, |at| at.max(since));
+        last.elapsed()
+    }
+
+    async fn quiet(&self, since: Instant) {
+        while self.idle_for(since) < self.limits.stop_quiet {
+            sleep(self.limits.stop_quiet / 10).await;
+        }
+    }
+
+    async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
+        loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log!("clients: {error}");
+                    sleep(Duration::from_millis(10)).await;
+                    continue;
+                }
+            };
+            let surplus = self.make_room();
+            // Its leaving must find room in the queue, whatever else waits there.
+            let Ok(leaving) = self.queue.clone().reserve_owned().await else { return };
+            let guest = Arc::new(Guest {
+                surplus,
+                busy: AtomicBool::new(false),
+                idle_since: Mutex::new(Instant::now()),
+                close: Notify::new(),
+                leaving: Mutex::new(Some(leaving)),
+            });
+            let number = self.tickets.fetch_add(1, Ordering::Relaxed);
+            lock(&self.guests).insert(number, guest.clone());
+            let door = self.clone();
+            tokio::spawn(async move {
+                door.serve(stream, guest).await;
+                lock(&door.guests).remove(&number);
+                drop(place);
+            });
+        }
+    }
+
+    /// Closes the connection that has been idle longest where all places are taken. Whether none was idle.
+    fn make_room(&self) -> bool {
+        let guests = lock(&self.guests);
+        if guests.len() < self.limits.clients {
+            return false;
+        }
+        let idle = guests.values().filter(|guest| !guest.busy.load(Ordering::Relaxed) && !guest.surplus);
+        match idle.min_by_key(|guest| *lock(&guest.idle_since)) {
+            Some(guest) => {
+                guest.busy.store(true, Ordering::Relaxed);
+                guest.close.notify_one();
+                false
+            }
+            None => true,
+        }
+    }
+
+    async fn serve(self: &Arc<Door>, stream: TcpStream, guest: Arc<Guest>) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| {
+            let (door, guest) = (self.clone(), guest.clone());
+            async move { Ok::<_, Infallible>(door.request(request, &guest).await) }
+        });
+        let connection = Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.client_idle)
+            .max_buf_size(self.limits.head)
+            .serve_connection(TokioIo::new(stream), service);
+        let close = guest.close.notified();
+        tokio::pin!(connection, close);
+        let mut closing = false;
+        loop {
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = &mut close, if !closing => {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+
+    async fn request(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+        // The client's time runs from its sending: this is the earliest that is known of it here.
+        let sent = Instant::now();
+        if request.uri().path() == "/up" {
+            let ready = !self.stopping.load(Ordering::Relaxed);
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return respond(status, String::new());
+        }
+        guest.busy.store(true, Ordering::Relaxed);
+        let response = self.job(request, guest, sent).await;
+        *lock(&guest.idle_since) = Instant::now();
+        guest.busy.store(false, Ordering::Relaxed);
+        response
+    }
+
+    async fn job(&self, request: Request<Incoming>, guest: &Guest, sent: Instant) -> Response<Full<Bytes>> {
+        let (mut head, body) = request.into_parts();
+        let job = match decode(&head, &self.terms) {
+            Ok(job) => job,
+            Err(what) => return last(respond(StatusCode::BAD_REQUEST, what + "\n")),
+        };
+        if guest.surplus {
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()));
+        }
+        let until = sent + job.time_left;
+        let body = if body.is_end_stream() {
+            Bytes::new()
+        } else {
+            let most = self.limits.body;
+            if body.size_hint().lower() > most as u64 {
+                return last(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
+            }
+            match timeout_at(until.into(), Limited::new(body, most).collect()).await {
+                Ok(Ok(body)) => body.to_bytes(),
+                Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                    return last(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
+                }
+                Ok(Err(error)) => return last(respond(StatusCode::BAD_REQUEST, format!("{error}\n"))),
+                Err(_) => return last(respond(StatusCode::REQUEST_TIMEOUT, String::new())),
+            }
+        };
+        strip_hop_by_hop(&mut head.headers);
+        let parcel = Parcel { method: head.method, uri: head.uri, headers: head.headers, body };
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (answer, answered) = oneshot::channel();
+        let arrival = Arrival { ticket, job, until, parcel, answer };
+        let mut attending = Attending { guest, ticket: Some(ticket) };
+        if self.queue.send(News::Arrival(Box::new(arrival))).await.is_err() {
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, String::new()));
+        }
+        let answer = answered.await;
+        attending.ticket = None;
+        match answer {
+            Ok(answer) => encode(answer),
+            // The driver has ended; nothing is known of the job.
+            Err(_) => last(respond(StatusCode::BAD_GATEWAY, String::new())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/config.rs
@@ -0,0 +1,186 @@
+//! The one place where the configuration is read, checked and given defaults; a faulty key is named.
+//! Values of the environment stand in for keys that the file leaves out.
+
+use crate::limits::Limits;
+use crate::roster::{self, RosterNews};
+use merlinreel_settings::{Paths, Terms};
+use serde::Deserialize;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+/// What a limiter is run with.
+#[derive(Debug)]
+pub struct Station {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    /// Where letters arrive, and every limiter's address by its number, this one's included.
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub seed: u64,
+    pub limits: Limits,
+    pub terms: Terms,
+    /// The roster as this limiter last had it.
+    pub known: Option<RosterNews>,
+}
+
+#[derive(Deserialize, Default)]
+struct File {
+    name: Option<String>,
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    seed: Option<Seed>,
+    #[serde(default)]
+    limits: Room,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    known: Option<roster::Message>,
+    settings: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Seed {
+    Number(u64),
+    Hex(String),
+}
+
+#[derive(Deserialize, Default)]
+struct Room {
+    memory_mb: Option<u32>,
+    sockets: Option<u32>,
+}
+
+/// Memory and descriptors where the file does not tell; enough for a small machine.
+const MEMORY_MB: u32 = 192;
+const SOCKETS: u32 = 1024;
+
+/// Reads the file named by `PROXY_CONFIG`, with the environment's own values where it leaves them out.
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
+    let path = variable("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set: it names the configuration file")?;
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    parse(&text, variable).map_err(|what| format!("{path}: {what}"))
+}
+
+/// Checks a configuration; a complaint begins with the key at fault.
+pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
+    let reader = &mut serde_json::Deserializer::from_str(text);
+    let file: File = serde_path_to_error::deserialize(reader).map_err(|error| {
+        let key = error.path().to_string();
+        if key == "." { error.inner().to_string() } else { format!("{key}: {}", error.inner()) }
+    })?;
+    let address = |key: &str, given: Option<SocketAddr>, name: &str| match (given, variable(name)) {
+        (Some(address), _) => Ok(address),
+        (None, Some(text)) => text.parse().map_err(|_| format!("{name}: '{text}' is no address and port")),
+        (None, None) => Err(format!("{key}: is missing, and {name} is not set")),
+    };
+    let settings = file.settings.ok_or("settings: is missing")?;
+    let terms = Terms::read(&Paths::from_json(&settings)?)?;
+    checked(&terms)?;
+    if terms.peers.letters && file.peer_listen.is_some() {
+        let (given, wanted) = (file.peers.len(), terms.peers.limiters as usize);
+        if given != wanted {
+            return Err(format!("peers: {given} addresses, but setting balancers says {wanted}"));
+        }
+        let mut seen = HashSet::new();
+        if let Some(twice) = file.peers.iter().find(|&peer| !seen.insert(peer)) {
+            return Err(format!("peers: {twice} stands there twice"));
+        }
+    }
+    let seed = match file.seed {
+        None => std::process::id().into(),
+        Some(Seed::Number(seed)) => seed,
+        Some(Seed::Hex(text)) => {
+            u64::from_str_radix(&text, 16).map_err(|_| format!("seed: '{text}' is not 16 hex digits"))?
+        }
+    };
+    Ok(Station {
+        name: file.name.or_else(|| variable("PROXY_NAME")).unwrap_or_else(|| "merlinreel".to_owned()),
+        listen: address("listen", file.listen, "PROXY_LISTEN")?,
+        discovery: address("discovery", file.discovery, "PROXY_DISCOVERY")?,
+        peer_listen: file.peer_listen,
+        peers: file.peers,
+        seed,
+        limits: Limits::new(
+            file.limits.sockets.unwrap_or(SOCKETS),
+            file.limits.memory_mb.unwrap_or(MEMORY_MB),
+            &terms,
+        )?,
+        known: file.known.map(RosterNews::try_from).transpose().map_err(|what| format!("known.{what}"))?,
+        terms,
+    })
+}
+
+/// What the bench may leave out, but sockets need.
+fn checked(terms: &Terms) -> Result<(), String> {
+    if terms.peers.counter {
+        return Err("setting familyInfo.hasCounter: this limiter speaks no counter's protocol".to_owned());
+    }
+    let needed = [("classes", &terms.wire.categories), ("packages", &terms.wire.plans)];
+    for (list, names) in needed {
+        if names.is_empty() {
+            return Err(format!("setting {list}: is empty"));
+        }
+        let mut seen = HashSet::new();
+        for (i, name) in names.iter().enumerate() {
+            if name == "-" || !seen.insert(name) {
+                return Err(format!("setting {list}.{i}.name: is missing or stands there twice"));
+            }
+        }
+    }
+    for (i, category) in terms.categories.iter().enumerate() {
+        if category.outer_limit.is_zero() {
+            return Err(format!("setting classes.{i}.hardLimitS: is missing"));
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    pub const GOOD: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f","peers":["127.0.0.1:1"],
+        "limits":{"memory_mb":64,"sockets":256},"settings":{"classes":[{"name":"look","idempotency":"read_like",
+        "promiseS":0.5,"hardLimitS":1.5}],"packages":[{"name":"basic","unitsPerS":4.0,"mostAtOnce":8.0}],
+        "balancers":1,"policyLimits":{"peers":true}}}"#;
+
+    fn complaint(from: &str, to: &str) -> String {
+        assert!(GOOD.contains(from), "{from}");
+        parse(&GOOD.replace(from, to), |_| None).map(|_| ()).expect_err("this is faulty")
+    }
+
+    #[test]
+    fn a_sound_file_is_read() {
+        let station = parse(GOOD, |_| None).expect("sound");
+        assert_eq!((station.seed, station.name.as_str(), station.peers.len()), (0x8c1f, "merlinreel", 1));
+    }
+
+    #[test]
+    fn the_environment_stands_in_for_what_the_file_leaves_out() {
+        let text = GOOD.replace(r#""listen":"127.0.0.1:0","#, "");
+        let named = |name: &str| (name == "PROXY_LISTEN").then(|| "127.0.0.2:80".to_owned());
+        assert_eq!(parse(&text, named).expect("sound").listen, SocketAddr::from(([127, 0, 0, 2], 80)));
+    }
+
+    #[test_case(r#""listen":"127.0.0.1:0","#, "", "listen: is missing, and PROXY_LISTEN is not set" ; "missing address")]
+    #[test_case(r#""127.0.0.1:0""#, r#""here""#, "listen: invalid socket address syntax" ; "no address")]
+    #[test_case("256", r#""many""#, "limits.sockets: invalid type: string" ; "no number")]
+    #[test_case("256", "20", "limits.sockets: 20 is too few" ; "too few descriptors")]
+    #[test_case("64", "1", "limits.memory_mb: 1 is too little" ; "too little memory")]
+    #[test_case("8c1f", "xyz", "seed: 'xyz' is not 16 hex digits" ; "seed")]
+    #[test_case("\"look\"", "null", "setting classes.0.name: is missing or stands there twice" ; "nameless")]
+    #[test_case("4.0", "-4.0", "setting packages.0.unitsPerS: '-4.0' is not a number from 0" ; "setting")]
+    #[test_case("\"balancers\":1", "\"balancers\":1,\"familyInfo\":{\"hasCounter\":true}",
+        "setting familyInfo.hasCounter: this limiter speaks no counter's protocol" ; "counter")]
+    #[test_case("\"seed\"", "\"peer_listen\":\"127.0.0.1:1\",\"peers\":[],\"x\"", "duplicate field" ; "key twice")]
+    #[test_case(r#""peers":["127.0.0.1:1"]"#, r#""peers":[],"peer_listen":"127.0.0.1:1""#,
+        "peers: 0 addresses, but setting balancers says 1" ; "peers amiss")]
+    #[test_case("\"settings\"", "\"setting\"", "settings: is missing" ; "key misspelt")]
+    fn a_faulty_key_is_named(from: &str, to: &str, begins: &str) {
+        let complaint = complaint(from, to);
+        assert!(complaint.contains(begins), "{complaint}");
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/lib.rs
@@ -0,0 +1,45 @@
+//! The limiter on sockets: clients' HTTP/1.1 in front of the decision module, servers behind it. Each file
+//! has one job; `driver` is the only one that knows the module.
+
+pub mod clients;
+pub mod config;
+pub mod driver;
+pub mod limits;
+pub mod log;
+pub mod peers;
+pub mod roster;
+pub mod servers;
+
+use std::future::Future;
+use std::io;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Runs one limiter until `stop` ends and what it then holds is answered. Needs a runtime of tokio's with
+/// time and I/O; one thread is enough.
+pub async fn run(station: config::Station, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let clock = driver::Clock::start();
+    let config::Station { name, listen, discovery, peer_listen, peers, seed, limits, terms, known } = station;
+    let named =
+        |what: &str, at, error: io::Error| io::Error::new(error.kind(), format!("{what}: {at}: {error}"));
+    let (queue, news) = mpsc::channel(limits.queue);
+    let post = match peer_listen.filter(|_| terms.peers.letters) {
+        Some(at) => {
+            Some(peers::Post::open(at, &peers).await.map_err(|error| named("peer_listen", at, error))?)
+        }
+        None => None,
+    };
+    let listener = TcpListener::bind(listen).await.map_err(|error| named("listen", listen, error))?;
+    let version = known.as_ref().map(|known| known.version);
+    let servers = servers::Servers::new(limits.clone(), &terms, queue.clone());
+    let driver = driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock);
+    let mut tasks = vec![
+        tokio::spawn(driver.run(known, news)),
+        tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone())),
+    ];
+    tasks.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
+    log!("{name} takes jobs at {listen}");
+    clients::Door::new(limits, terms, queue).attend(listener, stop).await;
+    tasks.iter().for_each(|task| task.abort());
+    Ok(())
+}
--- /dev/null
+++ b/crates/merlinreel/src/limits.rs
@@ -0,0 +1,95 @@
+//! All sizes, counts and times that bound the limiter's sockets: filled once at start and handed down.
+
+use merlinreel_settings::Terms;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Client connections served at once; further ones are answered that it is busy, up to `clients_most`.
+    pub clients: usize,
+    pub clients_most: usize,
+    /// Connections to servers, open or opening.
+    pub servers: usize,
+    /// Jobs held at once.
+    pub jobs: usize,
+    /// News waiting for the driver, and how many it takes into one round.
+    pub queue: usize,
+    pub round: usize,
+    /// Bytes of a body, either way, and of the head of a message.
+    pub body: usize,
+    pub head: usize,
+    /// Bytes of a roster's answer.
+    pub roster: usize,
+    /// A connection to a server must be up within this.
+    pub connect: Duration,
+    /// One that is idle for this long is dropped.
+    pub server_idle: Duration,
+    /// A client's connection that sends nothing for this long is closed.
+    pub client_idle: Duration,
+    /// Trips end so long before the client gives up, so that the answer is there in time.
+    pub answer_margin: Duration,
+    /// How long a watch of the roster may wait, how long its answer may be late, how soon a failed call
+    /// is tried again.
+    pub watch: Duration,
+    pub watch_slack: Duration,
+    pub watch_retry: Duration,
+    /// A probe unanswered for this long has failed.
+    pub probe: Duration,
+    /// After a stop is asked for: served on at least and at most so long while connections come, then
+    /// until nothing came for a while.
+    pub stop_least: Duration,
+    pub stop_most: Duration,
+    pub stop_quiet: Duration,
+}
+
+/// Descriptors that are neither clients' nor servers': standard streams, poller, listener, letters, roster.
+const OWN: usize = 24;
+/// Bytes that a connection may hold at worst, with its buffers; the module and the program take the rest.
+const CONNECTION_KB: usize = 160;
+const PROGRAM_MB: usize = 32;
+
+impl Limits {
+    pub fn new(sockets: u32, memory_mb: u32, terms: &Terms) -> Result<Limits, String> {
+        let memory = (memory_mb as usize).checked_sub(PROGRAM_MB).map(|mb| mb * 1024 / CONNECTION_KB);
+        let by_memory = memory.filter(|&connections| connections >= 32);
+        let by_memory = by_memory.ok_or(format!(
+            "limits.memory_mb: {memory_mb} is too little, {} are needed",
+            PROGRAM_MB + 32 * CONNECTION_KB / 1024
+        ))?;
+        let by_sockets = (sockets as usize).checked_sub(OWN).filter(|&left| left >= 32);
+        let by_sockets =
+            by_sockets.ok_or(format!("limits.sockets: {sockets} is too few, {} are needed", OWN + 32))?;
+        let room = by_sockets.min(by_memory);
+        // A job holds its client's connection and at most one to a server; clients keep idle ones too.
+        let servers = room * 2 / 5;
+        let clients_most = room - servers;
+        let idle =
+            if terms.wire.server_idle.is_zero() { Duration::from_secs(15) } else { terms.wire.server_idle };
+        let connect = terms.wire.connect_within;
+        Ok(Limits {
+            // An eighth is kept to tell newcomers that it is busy.
+            clients: clients_most - clients_most / 8,
+            clients_most,
+            servers,
+            jobs: if terms.jobs.most_held == 0 { clients_most } else { terms.jobs.most_held },
+            // Each connection may have a job and its leaving there, each trip its end.
+            queue: 4 * room + 256,
+            round: 512,
+            body: 64 * 1024,
+            head: 16 * 1024,
+            roster: 4 * 1024 * 1024,
+            connect: if connect.is_zero() { Duration::from_millis(250) } else { connect },
+            // What is written to a connection that the server just closed is lost: far from that moment.
+            server_idle: idle.mul_f64(0.6),
+            client_idle: Duration::from_secs(60),
+            answer_margin: Duration::from_millis(5),
+            watch: Duration::from_secs(20),
+            watch_slack: Duration::from_secs(2),
+            watch_retry: Duration::from_millis(100),
+            probe: Duration::from_millis(250),
+            stop_least: Duration::from_millis(500),
+            stop_most: Duration::from_millis(700),
+            stop_quiet: Duration::from_millis(200),
+        })
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/log.rs
@@ -0,0 +1,73 @@
+//! The log: lines on standard error through one macro, so many a second and no more.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Lines that may be written in a row, and in each second on from there.
+const LINES: u32 = 50;
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Guards the disk and the CPU against a trouble that repeats with every job.
+#[derive(Debug)]
+pub struct Gauge {
+    since: Option<Instant>,
+    lines: u32,
+    held_back: u64,
+}
+
+impl Gauge {
+    pub const fn new() -> Gauge {
+        Gauge { since: None, lines: 0, held_back: 0 }
+    }
+
+    /// Whether a line may be written now, and how many were held back before it.
+    pub fn admits(&mut self, now: Instant) -> Option<u64> {
+        if self.since.is_none_or(|since| now.duration_since(since) >= PERIOD) {
+            (self.since, self.lines) = (Some(now), 0);
+        }
+        if self.lines == LINES {
+            self.held_back += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.held_back))
+    }
+}
+
+impl Default for Gauge {
+    fn default() -> Gauge {
+        Gauge::new()
+    }
+}
+
+static GAUGE: Mutex<Gauge> = Mutex::new(Gauge::new());
+
+/// Whether the process may write a line now; used by the macro.
+pub fn admits() -> Option<u64> {
+    let mut gauge = GAUGE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    gauge.admits(Instant::now())
+}
+
+#[macro_export]
+macro_rules! log {
+    ($($what:tt)*) => {
+        match $crate::log::admits() {
+            Some(0) => eprintln!("merlinreel: {}", format_args!($($what)*)),
+            Some(more) => eprintln!("merlinreel: {} ({more} lines held back)", format_args!($($what)*)),
+            None => {}
+        }
+    };
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_beyond_the_rate_are_counted_and_told_later() {
+        let (mut gauge, now) = (Gauge::new(), Instant::now());
+        assert!((0..LINES).all(|_| gauge.admits(now) == Some(0)));
+        assert_eq!((gauge.admits(now), gauge.admits(now)), (None, None));
+        assert_eq!(gauge.admits(now + PERIOD), Some(2));
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/peers.rs
@@ -0,0 +1,86 @@
+//! Letters between limiters: datagrams, known by the address they come from.
+
+use crate::driver::{News, Queue};
+use crate::log;
+use merlinreel_core::Letter;
+use merlinreel_core::letter::MOST_BYTES;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+#[derive(Clone)]
+pub struct Post {
+    socket: Arc<UdpSocket>,
+    peers: Arc<[SocketAddr]>,
+}
+
+impl Post {
+    pub async fn open(at: SocketAddr, peers: &[SocketAddr]) -> io::Result<Post> {
+        Ok(Post { socket: Arc::new(UdpSocket::bind(at).await?), peers: peers.into() })
+    }
+
+    /// A letter that can't leave at once is lost, as any may be.
+    pub fn tell(&self, limiter: u32, letter: &[u8]) {
+        let Some(&to) = self.peers.get(limiter as usize) else { return };
+        if letter.len() > MOST_BYTES {
+            log!("letters: one of {} bytes was not sent", letter.len());
+            return;
+        }
+        if let Err(error) = self.socket.try_send_to(letter, to)
+            && error.kind() != io::ErrorKind::WouldBlock
+        {
+            log!("letters: to limiter {limiter}: {error}");
+        }
+    }
+
+    /// Takes letters in without end; a stranger's are dropped, as are those that find the queue full.
+    pub async fn receive(self, queue: Queue) {
+        let senders: HashMap<SocketAddr, u32> = self.peers.iter().copied().zip(0..).collect();
+        let mut buffer = [0; MOST_BYTES + 1];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) if length <= MOST_BYTES => {
+                    if let Some(&from) = senders.get(&from) {
+                        let bytes = buffer[..length].to_vec();
+                        let _ = queue.try_send(News::Letter(Letter { from, bytes }));
+                    }
+                }
+                Ok(_) => {}
+                // What the network says of a peer that is away is no trouble of this socket's.
+                Err(error) => log!("letters: {error}"),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+    use tokio::sync::mpsc;
+    use tokio::time::timeout;
+
+    #[tokio::test]
+    async fn letters_are_known_by_their_sender_and_a_stranger_s_are_dropped() {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let [one, two, stranger] = [
+            UdpSocket::bind(free).await.expect("a port"),
+            UdpSocket::bind(free).await.expect("a port"),
+            UdpSocket::bind(free).await.expect("a port"),
+        ];
+        let peers: Arc<[SocketAddr]> = [&one, &two].map(|s| s.local_addr().expect("bound")).into();
+        let (queue, mut news) = mpsc::channel(8);
+        let receiver = Post { socket: Arc::new(one), peers: peers.clone() };
+        let sender = Post { socket: Arc::new(two), peers: peers.clone() };
+        tokio::spawn(receiver.receive(queue));
+        let _ = stranger.send_to(b"odd", peers[0]).await;
+        sender.tell(0, &[0; MOST_BYTES + 1]);
+        sender.tell(7, b"nobody");
+        sender.tell(0, b"hello");
+        let first = timeout(Duration::from_secs(5), news.recv()).await.expect("a letter");
+        let Some(News::Letter(letter)) = first else { panic!("no letter") };
+        assert_eq!((letter.from, letter.bytes.as_slice()), (1, &b"hello"[..]));
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/roster.rs
@@ -0,0 +1,210 @@
+//! The roster: watches discovery, and decodes what it tells. Silence keeps the list.
+
+use crate::driver::{News, Queue};
+use crate::limits::Limits;
+use crate::log;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use merlinreel_core::Standing;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// A message of discovery as it stands on the wire.
+#[derive(Deserialize)]
+pub struct Message {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Instance>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: String,
+    weight: Option<f64>,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+/// The same, checked.
+#[derive(Debug, PartialEq)]
+pub struct RosterNews {
+    pub version: u64,
+    pub whole: bool,
+    pub servers: Vec<Listed>,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Listed {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub cell: u32,
+    pub standing: Standing,
+    pub weight: f64,
+    /// Unix time.
+    pub up_since: Option<Duration>,
+}
+
+impl TryFrom<Message> for RosterNews {
+    type Error = String;
+
+    fn try_from(message: Message) -> Result<RosterNews, String> {
+        let listed = |(i, one): (usize, Instance)| {
+            let standing = match one.lifecycle.as_str() {
+                "up" => Standing::Up,
+                "draining" => Standing::Draining,
+                "removed" => Standing::Gone,
+                other => return Err(format!("instances[{i}].lifecycle: unknown '{other}'")),
+            };
+            let address = one.host_port.parse();
+            let address = address.map_err(|_| format!("instances[{i}].hostPort: '{}'", one.host_port))?;
+            Ok(Listed {
+                name: one.instance_id,
+                address,
+                zone: one.zone,
+                cell: one.cell,
+                standing,
+                weight: one.weight.unwrap_or(1.0),
+                up_since: Some(Duration::from_millis(one.started_at_ms)).filter(|at| !at.is_zero()),
+            })
+        };
+        let servers = message.instances.into_iter().enumerate().map(listed).collect::<Result<_, _>>()?;
+        Ok(RosterNews { version: message.generation, whole: message.reset, servers })
+    }
+}
+
+pub fn decode(bytes: &[u8]) -> Result<RosterNews, String> {
+    let message: Message = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    message.try_into()
+}
+
+/// The connection to discovery; its task ends with it.
+struct Line {
+    sender: SendRequest<Empty<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn dial(discovery: SocketAddr) -> Result<Line, String> {
+    let stream = TcpStream::connect(discovery).await.map_err(|error| error.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+    let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+    Ok(Line { sender, task })
+}
+
+async fn ask(
+    line: &mut Line,
+    discovery: SocketAddr,
+    path: String,
+    most: usize,
+) -> Result<RosterNews, String> {
+    let request = Request::get(path).header(HOST, discovery.to_string()).body(Empty::new());
+    let request = request.map_err(|error| error.to_string())?;
+    line.sender.ready().await.map_err(|error| error.to_string())?;
+    let answer = line.sender.send_request(request).await.map_err(|error| error.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("discovery answers {}", answer.status()));
+    }
+    let body = Limited::new(answer.into_body(), most).collect().await.map_err(|error| error.to_string())?;
+    decode(&body.to_bytes())
+}
+
+/// Watches without end. Each call follows the last answer at once, as a watch lapses where it does not;
+/// after a failure the list stands, and the next call comes soon, on a connection of its own.
+pub async fn watch(discovery: SocketAddr, mut version: Option<u64>, limits: Limits, queue: Queue) {
+    let mut line = None;
+    let mut failing = false;
+    loop {
+        let path = match version {
+            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.watch.as_millis()),
+            None => "/discovery/hosts".to_owned(),
+        };
+        let call = async {
+            let mut at = match line.take() {
+                Some(line) => line,
+                None => dial(discovery).await?,
+            };
+            let news = ask(&mut at, discovery, path, limits.roster).await?;
+            Ok((at, news))
+        };
+        let late = limits.watch + limits.watch_slack;
+        match timeout(late, call).await.unwrap_or_else(|_| Err("no answer".to_owned())) {
+            Ok((at, news)) => {
+                line = Some(at);
+                version = Some(news.version);
+                if failing {
+                    log!("roster: discovery answers again");
+                }
+                failing = false;
+                if !news.servers.is_empty() || news.whole {
+                    let _ = queue.send(News::Roster(news)).await;
+                }
+            }
+            Err(what) => {
+                if !failing {
+                    log!("roster: {what}; the list stands");
+                }
+                failing = true;
+                sleep(limits.watch_retry).await;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test]
+    fn a_message_is_decoded() {
+        let news = decode(
+            br#"{"generation":43,"reset":false,"new":1,"instances":[{"instanceId":"s-5b","hostPort":"127.1.0.18:9000",
+            "zone":"b","machineType":"m2","cell":3,"lifecycle":"draining","weight":1.5,"startedAtMs":1800000000250}]}"#,
+        );
+        let listed = Listed {
+            name: "s-5b".to_owned(),
+            address: SocketAddr::from(([127, 1, 0, 18], 9000)),
+            zone: "b".to_owned(),
+            cell: 3,
+            standing: Standing::Draining,
+            weight: 1.5,
+            up_since: Some(Duration::from_millis(1_800_000_000_250)),
+        };
+        assert_eq!(news, Ok(RosterNews { version: 43, whole: false, servers: vec![listed] }));
+    }
+
+    #[test_case(r#"{"reset":true}"#, "missing field `generation`" ; "no version")]
+    #[test_case(r#"{"generation":1,"instances":[{"instanceId":"s","hostPort":"x","lifecycle":"up"}]}"#,
+        "instances[0].hostPort: 'x'" ; "no address")]
+    #[test_case(r#"{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"odd"}]}"#,
+        "instances[0].lifecycle: unknown 'odd'" ; "unknown state")]
+    #[test_case("{", "EOF" ; "cut short")]
+    fn a_malformed_message_is_refused(text: &str, begins: &str) {
+        let complaint = decode(text.as_bytes()).expect_err("malformed");
+        assert!(complaint.starts_with(begins), "{complaint}");
+    }
+}
