--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -398,3 +398,17 @@
         log!("{text}");
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_clock_is_unix_time_and_only_runs_forward() {
+        let clock = Clock::start();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        assert!(unix.abs_diff(clock.at(Instant::now())) < Duration::from_secs(60));
+        let later = clock.started + Duration::from_secs(3600);
+        assert_eq!(clock.at(later), clock.at(clock.started) + Duration::from_secs(3600));
+    }
+}
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -93,3 +93,25 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use merlinreel_settings::Paths;
+    use test_case::test_case;
+
+    #[test_case(1024, 192 ; "as scored")]
+    #[test_case(64, 192 ; "few descriptors")]
+    #[test_case(65536, 40 ; "little memory")]
+    fn all_descriptors_and_bytes_lie_within_what_is_given(sockets: u32, memory_mb: u32) {
+        let terms =
+            Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths)).expect("sound");
+        let limits = Limits::new(sockets, memory_mb, &terms).expect("room");
+        let connections = limits.clients_most + limits.servers;
+        assert!(limits.clients < limits.clients_most && limits.servers >= 12);
+        assert!(connections + OWN <= sockets as usize);
+        // Bodies and buffers of both sides at their fullest.
+        assert!(connections * (limits.body + 2 * limits.head) < (memory_mb as usize) << 20);
+        assert!(limits.queue > 2 * connections);
+    }
+}
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -519,3 +519,248 @@
         let _ = self.queue.send(News::Trip(news)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::{Method, Uri};
+    use merlinreel_core::Standing;
+    use test_case::test_case;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    const LONG: Duration = Duration::from_secs(20);
+
+    fn parcel(body: usize) -> Arc<Parcel> {
+        let headers = [("x-txn", "9b"), ("host", "origin.svc"), ("content-length", "1")];
+        let headers =
+            headers.map(|(name, value)| (HeaderName::from_static(name), HeaderValue::from_static(value)));
+        Arc::new(Parcel {
+            method: Method::POST,
+            uri: Uri::from_static("/pay?key=07"),
+            headers: HeaderMap::from_iter(headers),
+            body: Bytes::from(vec![b'x'; body]),
+        })
+    }
+
+    fn errand(serial: u64, body: usize, within: Duration) -> Errand {
+        let started = Instant::now();
+        Errand { serial, parcel: parcel(body), started, until: started + within }
+    }
+
+    /// The servers with one at that address.
+    fn servers(address: SocketAddr, slots: usize) -> (Servers, mpsc::Receiver<News>) {
+        let settings = serde_json::json!({"report": {"how": "answers"}, "policyLimits": {"probes": true}});
+        let paths = merlinreel_settings::Paths::from_json(&settings);
+        let terms = paths.and_then(|paths| merlinreel_settings::Terms::read(&paths)).expect("sound");
+        let limits = Limits { servers: slots, ..Limits::new(1024, 192, &terms).expect("room") };
+        let (queue, news) = mpsc::channel(16);
+        let mut servers = Servers::new(limits, &terms, queue);
+        servers.list(list(address, Standing::Up), true);
+        (servers, news)
+    }
+
+    fn list(address: SocketAddr, standing: Standing) -> RosterNews {
+        let (name, zone) = ("s-1".to_owned(), "a".to_owned());
+        let listed =
+            crate::roster::Listed { name, address, zone, cell: 0, standing, weight: 1.0, up_since: None };
+        RosterNews { version: 1, whole: true, servers: vec![listed] }
+    }
+
+    async fn end(news: &mut mpsc::Receiver<News>) -> TripNews {
+        match timeout(LONG, news.recv()).await {
+            Ok(Some(News::Trip(end))) => end,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn listener() -> (TcpListener, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        (listener, address)
+    }
+
+    /// Reads one request, which ends as its body does.
+    async fn request(stream: &mut TcpStream) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"x") {
+            assert!(stream.read_buf(&mut bytes).await.expect("a request") > 0);
+        }
+        bytes
+    }
+
+    const GOOD: &str = "HTTP/1.1 200 OK\r\nX-Units-Charged: 3\r\nX-Pressure: {\"queue\":2,\"util\":0.5,\"odd\":1}\r\n\
+        Content-Length: 4\r\n\r\ndone";
+
+    #[test_case(GOOD => (Ending::Fulfilled, true) ; "a good answer")]
+    #[test_case("HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n" => (Ending::Error, true) ; "an error")]
+    #[test_case("HTTP/1.1 503 Odd\r\nContent-Length: 0\r\n\r\n" => (Ending::Error, true) ; "unavailable, but it may have run")]
+    #[test_case("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n" => (Ending::TurnedAway, true) ; "turned away")]
+    #[test_case("HTTP/1.1 504 Over\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n" => (Ending::TurnedAway, true) ; "over already")]
+    #[test_case("HTTP/1.1 500 Odd\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n" => (Ending::Error, true) ; "the header alone proves nothing")]
+    #[test_case("" => (Ending::Dropped, false) ; "no answer")]
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndo" => (Ending::Dropped, false) ; "half an answer")]
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" => (Ending::Dropped, false) ; "too long an answer")]
+    #[test_case("gibberish\r\n\r\n" => (Ending::Dropped, false) ; "no answer in HTTP")]
+    #[tokio::test]
+    async fn what_comes_back_after_the_last_byte(text: &str) -> (Ending, bool) {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        let _link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        request(&mut stream).await;
+        stream.write_all(text.as_bytes()).await.expect("written");
+        drop(stream);
+        let end = end(&mut news).await;
+        if end.ending == Ending::Fulfilled {
+            let load = Load { waiting: Some(2.0), busy: Some(0.5), ..Load::default() };
+            assert_eq!((end.units, end.load), (Some(3.0), load));
+            let delivery = end.delivery.expect("an answer");
+            assert_eq!(&delivery.body[..], b"done");
+            assert!(delivery.headers.get(PRESSURE).is_none());
+        }
+        (end.ending, end.reusable)
+    }
+
+    #[tokio::test]
+    async fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
+        let (listener, address) = listener().await;
+        drop(listener);
+        let (mut servers, mut news) = servers(address, 4);
+        let _link = servers.send(0, errand(1, 1, LONG));
+        assert_eq!(end(&mut news).await.ending, Ending::NoConnection);
+    }
+
+    // More than the buffers of both sides hold.
+    #[test_case(1 << 26, true, Ending::NoConnection ; "the server closes before the last byte")]
+    #[test_case(1 << 26, false, Ending::Unsent ; "the time is over before the last byte")]
+    #[test_case(1, true, Ending::Dropped ; "the server closes after it")]
+    #[test_case(1, false, Ending::Expired ; "the time is over after it")]
+    #[tokio::test]
+    async fn the_last_byte_tells_what_may_have_run(body: usize, closes: bool, ending: Ending) {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        let within = if closes { LONG } else { Duration::from_millis(300) };
+        let _link = servers.send(0, errand(1, body, within));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        assert!(stream.read(&mut [0; 64]).await.expect("the beginning") > 0);
+        if closes && body == 1 {
+            request(&mut stream).await;
+        }
+        let held = (!closes).then_some(stream);
+        let end = end(&mut news).await;
+        assert_eq!((end.ending, end.reusable), (ending, false));
+        drop(held);
+    }
+
+    #[tokio::test]
+    async fn an_abandoned_trip_is_closed_before_its_end_is_told() {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        let link = servers.send(0, errand(5, 1, LONG)).expect("a slot");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        request(&mut stream).await;
+        // An order for a trip that is over is none for this one.
+        link.abandon(4);
+        link.abandon(5);
+        assert_eq!(end(&mut news).await.ending, Ending::Revoked);
+        assert_eq!(stream.try_read(&mut [0; 8]).expect("the end is there already"), 0);
+    }
+
+    #[tokio::test]
+    async fn one_trip_a_connection_and_the_newest_idle_one_first() {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        let links = [1, 2].map(|serial| servers.send(0, errand(serial, 1, LONG)).expect("a slot"));
+        let (mut one, _) = listener.accept().await.expect("a connection");
+        let (mut two, _) = listener.accept().await.expect("a second, as the first is busy");
+        for stream in [&mut one, &mut two] {
+            request(stream).await;
+            stream.write_all(GOOD.as_bytes()).await.expect("written");
+            end(&mut news).await;
+        }
+        links.map(|link| servers.keep(0, link));
+        let _link = servers.send(0, errand(3, 1, LONG)).expect("an idle one");
+        let bytes = request(&mut two).await;
+        assert_eq!(
+            wire_length(&encode(&parcel(1), LONG), 1) as usize,
+            bytes.len() + 1,
+            "{LONG:?} has a digit more"
+        );
+    }
+
+    #[tokio::test]
+    async fn a_connection_the_server_closed_while_idle_costs_no_trip() {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        let link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        request(&mut stream).await;
+        stream.write_all(GOOD.as_bytes()).await.expect("written");
+        end(&mut news).await;
+        servers.keep(0, link);
+        drop(stream);
+        let _link = servers.send(0, errand(2, 1, LONG));
+        let (mut stream, _) = listener.accept().await.expect("a new connection");
+        request(&mut stream).await;
+        stream.write_all(GOOD.as_bytes()).await.expect("written");
+        let end = end(&mut news).await;
+        assert_eq!((end.serial, end.ending), (2, Ending::Fulfilled));
+    }
+
+    #[test_case(Standing::Draining, 0 ; "a server that drains")]
+    #[test_case(Standing::Up, 1 ; "a server at another address")]
+    #[tokio::test]
+    async fn idle_connections_are_let_go_of(standing: Standing, port: u16) {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        let link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        request(&mut stream).await;
+        stream.write_all(GOOD.as_bytes()).await.expect("written");
+        end(&mut news).await;
+        let elsewhere = SocketAddr::from(([127, 0, 0, 1], if port == 0 { address.port() } else { port }));
+        servers.list(list(elsewhere, standing), false);
+        servers.keep(0, link);
+        servers.close_idle(0);
+        assert_eq!(timeout(LONG, stream.read(&mut [0; 8])).await.expect("closed").expect("in order"), 0);
+    }
+
+    #[tokio::test]
+    async fn descriptors_for_servers_are_bounded() {
+        let (_listener, address) = listener().await;
+        let (mut servers, _news) = servers(address, 1);
+        let first = servers.send(0, errand(1, 1, LONG));
+        assert!(first.is_some() && servers.send(0, errand(2, 1, LONG)).is_none());
+    }
+
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"queue\":3}" => (true, Some(3.0)) ; "answered")]
+    #[test_case("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" => (false, None) ; "not well")]
+    #[test_case("" => (false, None) ; "silent")]
+    #[tokio::test]
+    async fn a_probe(text: &str) -> (bool, Option<f64>) {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        servers.probe(0);
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut bytes = vec![0; 64];
+        let length = stream.read(&mut bytes).await.expect("a request");
+        assert!(bytes[..length].starts_with(b"GET /metrics/load HTTP/1.1\r\n"));
+        stream.write_all(text.as_bytes()).await.expect("written");
+        match timeout(LONG, news.recv()).await {
+            Ok(Some(News::Probe(answer))) => (answer.answered, answer.load.waiting),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn headers_of_one_connection_are_not_passed_on() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in [("connection", "x-own, close"), ("x-own", "1"), ("te", "gzip"), ("x-kept", "1")]
+        {
+            headers.insert(name, HeaderValue::from_static(value));
+        }
+        strip_hop_by_hop(&mut headers);
+        assert_eq!(headers.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-kept"]);
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/tests/sockets.rs
@@ -0,0 +1,215 @@
+//! The program as it runs: started by its configuration, spoken to over sockets.
+
+mod support;
+
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+use support::*;
+use test_case::test_case;
+
+#[test]
+fn a_job_goes_through_unchanged_and_connections_are_kept() {
+    let server = StandIn::start(|_| answer("200 OK", "X-Units-Charged: 1\r\nX-Kind: blue\r\n", "the answer"));
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let mut client = program.client();
+    for _ in 0..2 {
+        let answer = client.job("put", 7, 1);
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "the answer"));
+        assert_eq!(answer.header("x-kind"), Some("blue"));
+        let seen = server.next();
+        assert_eq!(
+            (seen.first.as_str(), seen.body.as_str()),
+            ("POST /put?key=0000000000000007 HTTP/1.1", "a body")
+        );
+        assert_eq!(
+            (seen.header("x-txn"), seen.header("idempotency-key")),
+            (Some("9b1f03aa"), Some("5c0f6e1a"))
+        );
+        let waits = seen.header("x-remaining").and_then(|text| text.strip_suffix('m')?.parse::<u32>().ok());
+        assert!(waits.is_some_and(|ms| ms > 0 && ms < 3000), "{waits:?}");
+        assert_eq!(seen.connection, 0);
+    }
+}
+
+#[test]
+fn beyond_its_quota_a_customer_is_deferred_and_told_when_to_come_back() {
+    let server = StandIn::start(|_| fine());
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let mut client = program.client();
+    assert_eq!(client.job("look", 7, 8).status(), 200);
+    let deferred = client.job("look", 7, 8);
+    assert_eq!(deferred.status(), 429);
+    let wait = deferred.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+    assert!(wait.is_some_and(|seconds| seconds > 0.0), "{wait:?}");
+    assert_eq!(client.job("look", 8, 8).status(), 200);
+}
+
+#[test]
+fn units_settled_by_the_answer_count() {
+    let server = StandIn::start(|_| answer("200 OK", "X-Units-Charged: 9\r\n", ""));
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let mut client = program.client();
+    assert_eq!((client.job("look", 7, 2).status(), client.job("look", 7, 2).status()), (200, 429));
+}
+
+#[test_case("look", &["200"], 2 ; "replayable goes out again")]
+#[test_case("put", &["200"], 2 ; "referenced goes out again in its group")]
+#[test_case("pay", &["502"], 1 ; "single-use that may have run is scrapped")]
+fn a_connection_that_breaks_after_the_request(category: &str, statuses: &[&str], trips: usize) {
+    let broken = std::sync::atomic::AtomicBool::new(false);
+    let server = StandIn::start(move |_| {
+        if broken.swap(true, std::sync::atomic::Ordering::SeqCst) { fine() } else { React::Break }
+    });
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let answer = program.client().job(category, 7, 1);
+    assert!(statuses.contains(&answer.status().to_string().as_str()), "{answer:?}");
+    assert_eq!(server.seen.try_iter().count(), trips);
+}
+
+#[test_case("503 Service Unavailable" ; "full")]
+#[test_case("504 Gateway Timeout" ; "over already")]
+fn what_was_turned_away_goes_elsewhere_even_if_single_use(status: &'static str) {
+    let full = StandIn::start(move |_| answer(status, "X-Turned-Away: 1\r\n", ""));
+    let other = StandIn::start(|_| fine());
+    let nobody = free_address();
+    let servers =
+        [listed("s-1", full.address, "up"), listed("s-2", other.address, "up"), listed("s-3", nobody, "up")];
+    let program = Program::start(&config(&servers));
+    let mut client = program.client();
+    for customer in 0..6 {
+        assert_eq!(client.job("pay", customer, 1).status(), 200);
+    }
+    assert_eq!(other.seen.try_iter().count(), 6);
+}
+
+#[test_case("GET /look?key=7 HTTP/1.1\r\nHost: svc\r\n\r\n" => 400 ; "headers missing")]
+#[test_case("GET /other HTTP/1.1\r\nHost: svc\r\n\r\n" => 400 ; "unknown category")]
+#[test_case("no request at all\r\n\r\n" => 400 ; "not http")]
+#[test_case("POST /pay?key=7 HTTP/1.1\r\nHost: svc\r\nX-Txn: 1\r\nX-Plan: team\r\nX-Remaining: 900m\r\n\
+    X-Quota: units=1,spread=1,first=0\r\nContent-Length: 65537\r\n\r\n" => 413 ; "too long")]
+#[test_case("POST /pay?key=7 HTTP/1.1\r\nHost: svc\r\nX-Txn: 1\r\nX-Plan: team\r\nX-Remaining: 50m\r\n\
+    X-Quota: units=1,spread=1,first=0\r\nContent-Length: 10\r\n\r\nhalf" => 408 ; "never whole")]
+fn every_path_has_one_answer(text: &str) -> u16 {
+    let program = Program::start(&config(&[]));
+    program.client().call(text).expect("an answer").status()
+}
+
+#[test]
+fn with_no_server_a_job_is_deferred_within_its_time() {
+    let program = Program::start(&config(&[]));
+    assert_eq!(program.client().job("pay", 7, 1).status(), 429);
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_trip() {
+    let server = StandIn::start(|_| React::Hang);
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let mut client = program.client();
+    client.send(&job("pay", 7, 1, "3000m"));
+    server.next();
+    drop(client);
+    assert_eq!(server.closed.recv_timeout(PATIENCE), Ok(0));
+}
+
+#[test]
+fn a_silent_server_s_job_is_answered_before_the_client_gives_up() {
+    let server = StandIn::start(|_| React::Hang);
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let answer = program.client().call(&job("pay", 7, 1, "400m")).expect("an answer");
+    assert_eq!((answer.status(), server.seen.try_iter().count()), (502, 1));
+    assert_eq!(server.closed.recv_timeout(PATIENCE), Ok(0));
+}
+
+#[test]
+fn the_roster_is_followed_and_silence_keeps_it() {
+    let (old, new) = (StandIn::start(|_| fine()), StandIn::start(|_| fine()));
+    let (tell, told) = channel();
+    let discovery = discovery(told);
+    let mut config = config(&[listed("s-1", old.address, "up")]);
+    config["discovery"] = discovery.address.to_string().into();
+    let program = Program::start(&config);
+    let mut client = program.client();
+    assert_eq!(client.job("look", 1, 1).status(), 200);
+    assert!(discovery.next().first.contains("after=1&wait_ms="));
+    let changes = [listed("s-1", old.address, "draining"), listed("s-2", new.address, "up")];
+    tell.send(roster(2, false, &changes).to_string()).expect("told");
+    // What makes no sense changes nothing, and is asked for again from the last version.
+    tell.send("{}".to_owned()).expect("told");
+    (0..2).for_each(|_| assert!(discovery.next().first.contains("after=2&")));
+    old.seen.try_iter().for_each(drop);
+    (2..6).for_each(|customer| assert_eq!(client.job("look", customer, 1).status(), 200));
+    assert_eq!((old.seen.try_iter().count(), new.seen.try_iter().count()), (0, 4));
+}
+
+#[test]
+fn a_quota_holds_over_two_limiters() {
+    let server = StandIn::start(|_| fine());
+    let peers = [free_address(), free_address()];
+    let programs: Vec<Program> = (0..2)
+        .map(|rank| {
+            let mut config = config(&[listed("s-1", server.address, "up")]);
+            config["peers"] = peers.iter().map(ToString::to_string).collect();
+            config["peer_listen"] = peers[rank].to_string().into();
+            (config["settings"]["balancers"], config["settings"]["rank"]) = (2.into(), rank.into());
+            Program::start(&config)
+        })
+        .collect();
+    let shared = |units| job("look", 7, units, "3000m").replace("spread=1", "spread=2");
+    let mut clients: Vec<Client> = programs.iter().map(Program::client).collect();
+    assert_eq!(clients[0].call(&shared(8)).map(|answer| answer.status()), Some(200));
+    // Letters are lost where peers start together; the total is told with each further job.
+    let told = (0..200).any(|_| {
+        thread::sleep(Duration::from_millis(20));
+        let answer = clients[1].call(&shared(8)).expect("an answer");
+        answer.status() == 429
+    });
+    assert!(told);
+}
+
+#[test]
+fn a_stop_serves_on_and_finishes_what_is_in_hand() {
+    let (release, released) = channel::<()>();
+    let released = std::sync::Mutex::new(released);
+    let server = StandIn::start(move |message| {
+        if message.first.starts_with("POST") {
+            let _ = released.lock().expect("whole").recv();
+        }
+        fine()
+    });
+    let mut program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let mut slow = program.client();
+    slow.send(&job("pay", 1, 1, "3000m"));
+    server.next();
+    program.stop();
+    assert_eq!(program.client().job("look", 2, 1).status(), 200);
+    release.send(()).expect("the server waits");
+    assert_eq!(slow.receive().map(|answer| answer.status()), Some(200));
+    assert!(program.end().success());
+}
+
+#[test]
+fn idle_clients_make_room_for_new_ones() {
+    let server = StandIn::start(|_| fine());
+    let mut config = config(&[listed("s-1", server.address, "up")]);
+    config["limits"]["sockets"] = 80.into();
+    let program = Program::start(&config);
+    let mut clients: Vec<Client> = (0..100)
+        .map(|customer| {
+            let mut client = program.client();
+            assert_eq!(client.job("look", customer, 1).status(), 200);
+            client
+        })
+        .collect();
+    // The newest are still open, the oldest gave way.
+    assert_eq!(clients[99].job("look", 1000, 1).status(), 200);
+    assert!(clients[0].call(&job("look", 1001, 1, "3000m")).is_none());
+}
+
+#[test]
+fn a_faulty_configuration_is_refused_by_name() {
+    let mut config = config(&[]);
+    config["limits"]["sockets"] = "many".into();
+    let (status, text) = Program::complaint(&config);
+    assert!(!status.success() && text.contains("limits.sockets: invalid type"), "{text}");
+}
