--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -3,7 +3,7 @@
 //!
 //!     cargo run --example toy_server -- [SERVER DISCOVERY]     (127.0.0.1:9101 127.0.0.1:9102)
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
