--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -310,22 +310,18 @@
     request
 }
 
-/// Headers that are of one connection only.
+/// Takes out the headers that are of one connection only, and the length, which the body tells.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    named.iter().for_each(|name| drop(headers.remove(name)));
-    for name in
-        ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"]
-    {
-        headers.remove(name);
-    }
-    headers.remove(CONTENT_LENGTH);
+    let named = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let named: Vec<String> =
+        named.flat_map(|value| value.split(',').map(|name| name.trim().to_lowercase())).collect();
+    let of_one_connection = |name: &&HeaderName| match name.as_str() {
+        "connection" | "keep-alive" | "proxy-connection" | "te" | "trailer" | "transfer-encoding"
+        | "upgrade" | "content-length" => true,
+        name => named.iter().any(|other| other == name),
+    };
+    let gone: Vec<HeaderName> = headers.keys().filter(of_one_connection).cloned().collect();
+    gone.iter().for_each(|name| drop(headers.remove(name)));
 }
 
 /// What an answer says, besides how long it took.
@@ -430,7 +426,17 @@
             stream = timeout(within, TcpStream::connect(address)) => stream,
             () = sleep_until(errand.until.into()) => return Err(Ending::NoConnection),
         };
-        let Ok(Ok(stream)) = stream else { return Err(Ending::NoConnection) };
+        let stream = match stream {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
+                log!("server at {address}: no connection: {error}");
+                return Err(Ending::NoConnection);
+            }
+            Err(_) => {
+                log!("server at {address}: no connection within {within:?}");
+                return Err(Ending::NoConnection);
+            }
+        };
         let _ = stream.set_nodelay(true);
         let written = Arc::new(AtomicU64::new(0));
         let io = TokioIo::new(Counted { stream, written: written.clone() });
@@ -458,16 +464,21 @@
             tokio::select! {
                 biased;
                 () = self.abandoned(errand.serial) => break Ending::Revoked,
+                // First, as what it reads is the answer: that saves a turn.
+                _ = connection.as_mut(), if !*over => *over = true,
                 answer = &mut answer => match answer {
                     Some(answer) => return Ok(decode(answer, loads)),
                     None => break Ending::Dropped,
                 },
-                _ = connection.as_mut(), if !*over => *over = true,
                 () = &mut limit => break Ending::Expired,
             }
         };
         // Nothing is written any more: short of the last byte, no server can have run it.
         let never_ran = written.load(Ordering::Relaxed) < whole;
+        if ending == Ending::Dropped {
+            let part = if never_ran { "before" } else { "after" };
+            log!("server at {}: connection broke {part} a trip's last byte", self.address);
+        }
         Err(match ending {
             Ending::Dropped if never_ran => Ending::NoConnection,
             _ if never_ran => Ending::Unsent,
