--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -16,6 +16,21 @@
     assert!((account.left(at(read_at), &plan()) - left).abs() < 1e-6);
 }
 
+/// On sockets the clock is Unix time: windows, refill and rings must be as true there as near nothing.
+#[test_case(0.0 ; "near nothing")]
+#[test_case(1_900_000_000.0 ; "Unix time")]
+fn any_size_of_clock(start: f64) {
+    let mut account = Account::new(5, 0, &plan(), peers(), at(start + 0.5));
+    account.add_own(account.window, 8.0);
+    account.asked_units.add(at(start + 0.5), 8.0);
+    account.roll(at(start + 4.1), &plan());
+    assert_eq!((account.window, account.own), (start as u64 / 4 + 1, [0.0, 8.0]));
+    assert!((account.left(at(start + 4.5), &plan()) - 8.0).abs() < 1e-5);
+    assert!((account.opens_in(at(start + 4.1), &plan(), 8.0) - 3.9).abs() < 1e-5);
+    assert_eq!((account.asked(at(start + 1.0)) * secs(ASKED_OVER)).round(), 8.0);
+    assert_eq!(account.asked(at(start + 30.0)), 0.0);
+}
+
 #[test]
 fn even_refill_after_the_edge() {
     let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use merlinreel_core::{Job, Repeats};
 use merlinreel_settings::Terms;
@@ -345,7 +345,12 @@
             }
         };
         strip_hop_by_hop(&mut head.headers);
-        let parcel = Parcel { method: head.method, uri: head.uri, headers: head.headers, body };
+        // Servers get the path alone, whichever form the client's target had.
+        let uri = match head.uri.authority() {
+            Some(_) => head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default(),
+            None => head.uri,
+        };
+        let parcel = Parcel { method: head.method, uri, headers: head.headers, body };
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (answer, answered) = oneshot::channel();
         let arrival = Arrival { ticket, job, until, parcel, answer };
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -33,13 +33,18 @@
     let version = known.as_ref().map(|known| known.version);
     let servers = servers::Servers::new(limits.clone(), &terms, queue.clone());
     let driver = driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock);
-    let mut tasks = vec![
-        tokio::spawn(driver.run(known, news)),
-        tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone())),
-    ];
-    tasks.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
+    let mut driving = tokio::spawn(driver.run(known, news));
+    let mut others = vec![tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone()))];
+    others.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
     log!("{name} takes jobs at {listen}");
-    clients::Door::new(limits, terms, queue).attend(listener, stop).await;
-    tasks.iter().for_each(|task| task.abort());
-    Ok(())
+    let ended = tokio::select! {
+        () = clients::Door::new(limits, terms, queue).attend(listener, stop) => Ok(()),
+        // Guards against a limiter that takes jobs and decides nothing: it ends, to be started again.
+        end = &mut driving => Err(io::Error::other(match end {
+            Ok(()) => "the driver has ended".to_owned(),
+            Err(error) => format!("the driver has ended: {error}"),
+        })),
+    };
+    others.iter().chain([&driving]).for_each(|task| task.abort());
+    ended
 }
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -150,14 +150,16 @@
         Some(Link { orders, address })
     }
 
-    /// Where none is free, an idle connection makes room; its descriptor is free a moment later.
+    /// With the last place taken the longest idle connection of the fullest pool is let go of, for the next.
     fn slot(&mut self) -> Option<OwnedSemaphorePermit> {
         let slot = self.slots.clone().try_acquire_owned().ok();
-        if slot.is_none() {
+        if self.slots.available_permits() == 0 {
             let fullest = self.places.iter_mut().max_by_key(|place| place.idle.len());
             if let Some(place) = fullest.filter(|place| !place.idle.is_empty()) {
                 place.idle.remove(0);
             }
+        }
+        if slot.is_none() {
             log!("no descriptor is free for a connection to a server");
         }
         slot
@@ -741,11 +743,18 @@
     }
 
     #[tokio::test]
-    async fn descriptors_for_servers_are_bounded() {
-        let (_listener, address) = listener().await;
-        let (mut servers, _news) = servers(address, 1);
-        let first = servers.send(0, errand(1, 1, LONG));
-        assert!(first.is_some() && servers.send(0, errand(2, 1, LONG)).is_none());
+    async fn descriptors_for_servers_are_bounded_and_idle_ones_give_way() {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 2);
+        let first = servers.send(0, errand(1, 1, LONG)).expect("a slot");
+        let mut stream = accept(&listener).await;
+        request(&mut stream).await;
+        stream.write_all(GOOD.as_bytes()).await.expect("written");
+        end(&mut news).await;
+        servers.places.push(Place { address, idle: vec![first] });
+        let second = servers.send(0, errand(2, 1, LONG));
+        assert!(second.is_some() && servers.send(0, errand(3, 1, LONG)).is_none());
+        assert_eq!(timeout(LONG, stream.read(&mut [0; 8])).await.expect("closed").expect("in order"), 0);
     }
 
     #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"queue\":3}" => (true, Some(3.0)) ; "answered")]
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -32,6 +32,15 @@
     }
 }
 
+#[test]
+fn a_target_with_a_host_reaches_servers_as_a_path() {
+    let server = StandIn::start(|_| fine());
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let text = job("look", 7, 1, "3000m").replace("GET /look", "GET http://origin.svc/look");
+    assert_eq!(program.client().call(&text).map(|answer| answer.status()), Some(200));
+    assert_eq!(server.next().first, "GET /look?key=0000000000000007 HTTP/1.1");
+}
+
 #[test]
 fn beyond_its_quota_a_customer_is_deferred_and_told_when_to_come_back() {
     let server = StandIn::start(|_| fine());
