Newcomers were left waiting where every client place was taken: told 503 at once

Causes, in clients.rs: a connection told to give way before its first request never closes on hyper's graceful shutdown, so it held its place (serve); whether a connection was one too many was settled at its accept, when a burst's first connections had not been read yet (make_room), so that busy ones took the reserve too. Now what counts is requests in hand when one comes in, connections give way before the wait for a place, and one that is idle is dropped outright. Ruled out: the queue and the descriptors, both far from full.

Also: the stop takes late connections for a second at most, and tests for the driver, idle connections to servers, the client's time, calls of the roster that break.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -17,7 +17,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
@@ -127,9 +127,9 @@
 
 /// One client's connection.
 struct Guest {
-    /// Beyond what is served at once: it is told so.
-    surplus: bool,
     busy: AtomicBool,
+    /// It was idle and has to give way.
+    evicted: AtomicBool,
     idle_since: Mutex<Instant>,
     close: Notify,
     /// A place in the queue for the news that the client has left; it can leave but once.
@@ -156,6 +156,29 @@
     }
 }
 
+/// A request in hand, answered or left at its end.
+struct Hand<'a> {
+    door: &'a Door,
+    guest: &'a Guest,
+    /// How many there were before it.
+    number: usize,
+}
+
+impl<'a> Hand<'a> {
+    fn take(door: &'a Door, guest: &'a Guest) -> Hand<'a> {
+        guest.busy.store(true, Ordering::Relaxed);
+        Hand { door, guest, number: door.in_hand.fetch_add(1, Ordering::Relaxed) }
+    }
+}
+
+impl Drop for Hand<'_> {
+    fn drop(&mut self) {
+        self.door.in_hand.fetch_sub(1, Ordering::Relaxed);
+        *lock(&self.guest.idle_since) = Instant::now();
+        self.guest.busy.store(false, Ordering::Relaxed);
+    }
+}
+
 /// What all clients' connections share.
 pub struct Door {
     limits: Limits,
@@ -163,6 +186,7 @@
     queue: Queue,
     tickets: AtomicU64,
     stopping: AtomicBool,
+    in_hand: AtomicUsize,
     guests: Mutex<HashMap<u64, Arc<Guest>>>,
 }
 
@@ -174,6 +198,7 @@
             queue,
             tickets: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            in_hand: AtomicUsize::new(0),
             guests: Mutex::new(HashMap::new()),
         })
     }
@@ -198,19 +223,26 @@
                 self.quiet(asked).await;
             } => {}
         }
-        // From here on connections are closed between requests; new ones are served once.
+        // From here on connections are closed between requests; new ones are served once, for a while.
+        let finished = self.finish(asked);
+        tokio::pin!(finished);
         tokio::select! {
             () = self.accept(&listener, &places) => {}
-            () = async {
-                loop {
-                    lock(&self.guests).values().for_each(|guest| guest.close.notify_one());
-                    let busy = lock(&self.guests).values().any(|guest| guest.busy.load(Ordering::Relaxed));
-                    if !busy && self.idle_for(asked) >= self.limits.stop_quiet {
-                        return;
-                    }
-                    sleep(self.limits.stop_quiet / 10).await;
-                }
-            } => {}
+            () = sleep(self.limits.stop_late) => {}
+            () = &mut finished => return,
+        }
+        drop(listener);
+        finished.await;
+    }
+
+    /// Closes connections between requests until nothing is in hand.
+    async fn finish(&self, asked: Instant) {
+        loop {
+            lock(&self.guests).values().for_each(|guest| guest.close.notify_one());
+            if self.in_hand.load(Ordering::Relaxed) == 0 && self.idle_for(asked) >= self.limits.stop_quiet {
+                return;
+            }
+            sleep(self.limits.stop_quiet / 10).await;
         }
     }
 
@@ -230,6 +262,8 @@
 
     async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
         loop {
+            // Before the wait for a place: idle connections must not hold them all.
+            self.make_room();
             let Ok(place) = places.clone().acquire_owned().await else { return };
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -239,12 +273,11 @@
                     continue;
                 }
             };
-            let surplus = self.make_room();
             // Its leaving must find room in the queue, whatever else waits there.
             let Ok(leaving) = self.queue.clone().reserve_owned().await else { return };
             let guest = Arc::new(Guest {
-                surplus,
                 busy: AtomicBool::new(false),
+                evicted: AtomicBool::new(false),
                 idle_since: Mutex::new(Instant::now()),
                 close: Notify::new(),
                 leaving: Mutex::new(Some(leaving)),
@@ -260,20 +293,17 @@
         }
     }
 
-    /// Closes the connection that has been idle longest where all places are taken. Whether none was idle.
-    fn make_room(&self) -> bool {
+    /// Where more are there than are served at once, the connection that has been idle longest gives way.
+    fn make_room(&self) {
         let guests = lock(&self.guests);
         if guests.len() < self.limits.clients {
-            return false;
+            return;
         }
-        let idle = guests.values().filter(|guest| !guest.busy.load(Ordering::Relaxed) && !guest.surplus);
-        match idle.min_by_key(|guest| *lock(&guest.idle_since)) {
-            Some(guest) => {
-                guest.busy.store(true, Ordering::Relaxed);
-                guest.close.notify_one();
-                false
-            }
-            None => true,
+        let set = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        let idle = guests.values().filter(|guest| !set(&guest.busy) && !set(&guest.evicted));
+        if let Some(oldest) = idle.min_by_key(|guest| *lock(&guest.idle_since)) {
+            oldest.evicted.store(true, Ordering::Relaxed);
+            oldest.close.notify_one();
         }
     }
 
@@ -295,7 +325,12 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return,
+                // Guards against one that never sent anything: asked to close, it would stay.
                 () = &mut close, if !closing => {
+                    let (busy, evicted) = (&guest.busy, &guest.evicted);
+                    if evicted.load(Ordering::Relaxed) && !busy.load(Ordering::Relaxed) {
+                        return;
+                    }
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -311,11 +346,12 @@
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return respond(status, String::new());
         }
-        guest.busy.store(true, Ordering::Relaxed);
-        let response = self.job(request, guest, sent).await;
-        *lock(&guest.idle_since) = Instant::now();
-        guest.busy.store(false, Ordering::Relaxed);
-        response
+        let hand = Hand::take(self, guest);
+        // The places beyond are kept to say so to whoever comes, at once.
+        if hand.number >= self.limits.clients {
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()));
+        }
+        self.job(request, guest, sent).await
     }
 
     async fn job(&self, request: Request<Incoming>, guest: &Guest, sent: Instant) -> Response<Full<Bytes>> {
@@ -324,9 +360,6 @@
             Ok(job) => job,
             Err(what) => return last(respond(StatusCode::BAD_REQUEST, what + "\n")),
         };
-        if guest.surplus {
-            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()));
-        }
         let until = sent + job.time_left;
         let body = if body.is_end_stream() {
             Bytes::new()
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -14,6 +14,19 @@
 use std::io;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Guards against a limiter that takes jobs and decides nothing: where the driver ends first, all does, to be
+/// started again.
+async fn attended(door: impl Future<Output = ()>, driving: &mut JoinHandle<()>) -> io::Result<()> {
+    tokio::select! {
+        () = door => Ok(()),
+        end = driving => Err(io::Error::other(match end {
+            Ok(()) => "the driver has ended".to_owned(),
+            Err(error) => format!("the driver has ended: {error}"),
+        })),
+    }
+}
 
 /// Runs one limiter until `stop` ends and what it then holds is answered. Needs a runtime of tokio's with
 /// time and I/O; one thread is enough.
@@ -37,14 +50,19 @@
     let mut others = vec![tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone()))];
     others.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
     log!("{name} takes jobs at {listen}");
-    let ended = tokio::select! {
-        () = clients::Door::new(limits, terms, queue).attend(listener, stop) => Ok(()),
-        // Guards against a limiter that takes jobs and decides nothing: it ends, to be started again.
-        end = &mut driving => Err(io::Error::other(match end {
-            Ok(()) => "the driver has ended".to_owned(),
-            Err(error) => format!("the driver has ended: {error}"),
-        })),
-    };
+    let ended = attended(clients::Door::new(limits, terms, queue).attend(listener, stop), &mut driving).await;
     others.iter().chain([&driving]).for_each(|task| task.abort());
     ended
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn the_end_of_the_driver_is_the_end_of_all() {
+        let mut driving = tokio::spawn(async { panic!("a fault in a decision") });
+        let error = attended(std::future::pending(), &mut driving).await.expect_err("a fault");
+        assert!(error.to_string().starts_with("the driver has ended"), "{error}");
+    }
+}
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -35,10 +35,12 @@
     pub watch_retry: Duration,
     /// A probe unanswered for this long has failed.
     pub probe: Duration,
-    /// After a stop is asked for: served on at least and at most so long while connections come, then
-    /// until nothing came for a while.
+    /// After a stop is asked for: served on at least and at most so long while connections come, then each
+    /// is closed between requests, late ones are still taken for so long, and all ends once nothing came
+    /// for a while.
     pub stop_least: Duration,
     pub stop_most: Duration,
+    pub stop_late: Duration,
     pub stop_quiet: Duration,
 }
 
@@ -89,6 +91,7 @@
             probe: Duration::from_millis(250),
             stop_least: Duration::from_millis(500),
             stop_most: Duration::from_millis(700),
+            stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
         })
     }
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -742,6 +742,21 @@
         assert_eq!(timeout(LONG, stream.read(&mut [0; 8])).await.expect("closed").expect("in order"), 0);
     }
 
+    #[tokio::test]
+    async fn an_idle_connection_is_dropped_before_the_server_does() {
+        let (listener, address) = listener().await;
+        let (mut servers, mut news) = servers(address, 4);
+        assert!(servers.limits.server_idle < Duration::from_secs(15));
+        servers.limits.server_idle = Duration::from_millis(1);
+        let link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
+        let mut stream = accept(&listener).await;
+        request(&mut stream).await;
+        stream.write_all(GOOD.as_bytes()).await.expect("written");
+        end(&mut news).await;
+        servers.keep(0, link);
+        assert_eq!(timeout(LONG, stream.read(&mut [0; 8])).await.expect("closed").expect("in order"), 0);
+    }
+
     #[tokio::test]
     async fn descriptors_for_servers_are_bounded_and_idle_ones_give_way() {
         let (listener, address) = listener().await;
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -143,9 +143,10 @@
     assert!(discovery.next().first.contains("after=1&wait_ms="));
     let changes = [listed("s-1", old.address, "draining"), listed("s-2", new.address, "up")];
     tell.send(roster(2, false, &changes).to_string()).expect("told");
-    // What makes no sense changes nothing, and is asked for again from the last version.
+    // What makes no sense changes nothing, nor a call that breaks: asked for again from the last version.
     tell.send("{}".to_owned()).expect("told");
-    (0..2).for_each(|_| assert!(discovery.next().first.contains("after=2&")));
+    tell.send("break".to_owned()).expect("told");
+    (0..3).for_each(|_| assert!(discovery.next().first.contains("after=2&")));
     old.seen.try_iter().for_each(drop);
     (2..6).for_each(|customer| assert_eq!(client.job("look", customer, 1).status(), 200));
     assert_eq!((old.seen.try_iter().count(), new.seen.try_iter().count()), (0, 4));
@@ -190,8 +191,11 @@
     let mut slow = program.client();
     slow.send(&job("pay", 1, 1, "3000m"));
     server.next();
+    let mut idle = program.client();
+    assert_eq!(idle.job("look", 2, 1).status(), 200);
     program.stop();
-    assert_eq!(program.client().job("look", 2, 1).status(), 200);
+    assert_eq!(program.client().job("look", 3, 1).status(), 200);
+    assert!(idle.receive().is_none(), "closed between requests");
     release.send(()).expect("the server waits");
     assert_eq!(slow.receive().map(|answer| answer.status()), Some(200));
     assert!(program.end().success());
@@ -215,6 +219,48 @@
     assert!(clients[0].call(&job("look", 1001, 1, "3000m")).is_none());
 }
 
+#[test]
+fn with_every_connection_busy_newcomers_are_told_so() {
+    let server = StandIn::start(|_| React::Hang);
+    let mut config = config(&[listed("s-1", server.address, "up")]);
+    config["limits"]["sockets"] = 80.into();
+    (config["settings"]["classes"][2]["promiseS"], config["settings"]["classes"][2]["hardLimitS"]) =
+        (20.into(), 30.into());
+    let program = Program::start(&config);
+    let holders: Vec<Client> = (0..45)
+        .map(|customer| {
+            let mut client = program.client();
+            client.send(&job("pay", customer, 1, "25000m"));
+            client
+        })
+        .collect();
+    server.next();
+    // Whoever of the others is read first: soon all places are held.
+    let told = (0..100).find_map(|_| {
+        let answer = program.client().call(&job("pay", 100, 1, "200m"))?;
+        (answer.status() == 503).then_some(answer)
+    });
+    drop(holders);
+    let told = told.expect("one that is told");
+    assert_eq!((told.body.as_str(), told.header("connection")), ("too many connections\n", Some("close")));
+}
+
+#[test]
+fn the_client_s_time_runs_from_its_sending() {
+    let server = StandIn::start(|_| fine());
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let mut client = program.client();
+    let text = job("pay", 7, 1, "3000m");
+    let (head, body) = text.split_at(text.len() - 1);
+    client.send(head);
+    thread::sleep(Duration::from_millis(150));
+    assert!(server.seen.try_recv().is_err());
+    client.send(body);
+    let waits =
+        server.next().header("x-remaining").and_then(|text| text.strip_suffix('m')?.parse::<u32>().ok());
+    assert!(waits.is_some_and(|ms| ms < 2900), "{waits:?}");
+}
+
 #[test]
 fn a_faulty_configuration_is_refused_by_name() {
     let mut config = config(&[]);
--- a/crates/merlinreel/tests/support/mod.rs
+++ b/crates/merlinreel/tests/support/mod.rs
@@ -118,10 +118,11 @@
     Ok(())
 }
 
-/// A discovery that tells the texts it is given, one an answer; each call waits for the next.
+/// A discovery that tells the texts it is given, one an answer, or breaks; each call waits for the next.
 pub fn discovery(texts: Receiver<String>) -> StandIn {
     let texts = Mutex::new(texts);
     StandIn::start(move |_| match texts.lock().expect("whole").recv() {
+        Ok(text) if text == "break" => React::Break,
         Ok(text) => answer("200 OK", "", &text),
         Err(_) => React::Hang,
     })
