--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -22,6 +22,8 @@
     pub terms: Terms,
     /// The roster as this limiter last had it.
     pub known: Option<RosterNews>,
+    /// Keys of the file that mean nothing here: misspelt, or meant for another version.
+    pub unknown: Vec<String>,
 }
 
 #[derive(Deserialize, Default)]
@@ -37,6 +39,9 @@
     peers: Vec<SocketAddr>,
     known: Option<roster::Message>,
     settings: Option<serde_json::Value>,
+    /// Letters go to one limiter at a time.
+    #[serde(rename = "peers_all")]
+    _peers_all: Option<serde_json::Value>,
 }
 
 #[derive(Deserialize)]
@@ -50,6 +55,9 @@
 struct Room {
     memory_mb: Option<u32>,
     sockets: Option<u32>,
+    /// One thread takes one core at most, as it is.
+    #[serde(rename = "cores")]
+    _cores: Option<serde_json::Value>,
 }
 
 /// Memory and descriptors where the file does not tell; enough for a small machine.
@@ -65,11 +73,16 @@
 
 /// Checks a configuration; a complaint begins with the key at fault.
 pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
-    let reader = &mut serde_json::Deserializer::from_str(text);
-    let file: File = serde_path_to_error::deserialize(reader).map_err(|error| {
-        let key = error.path().to_string();
-        if key == "." { error.inner().to_string() } else { format!("{key}: {}", error.inner()) }
+    let (mut json, mut track) = (serde_json::Deserializer::from_str(text), serde_path_to_error::Track::new());
+    let mut unknown = Vec::new();
+    let reader = serde_path_to_error::Deserializer::new(&mut json, &mut track);
+    let file = serde_ignored::deserialize(reader, |path| unknown.push(path.to_string()));
+    let file: File = file.and_then(|file| json.end().map(|()| file)).map_err(|error| {
+        let key = track.path().to_string();
+        if key == "." { error.to_string() } else { format!("{key}: {error}") }
     })?;
+    // Discovery's lists may hold more than is read here.
+    unknown.retain(|key| !key.starts_with("known."));
     let address = |key: &str, given: Option<SocketAddr>, name: &str| match (given, variable(name)) {
         (Some(address), _) => Ok(address),
         (None, Some(text)) => text.parse().map_err(|_| format!("{name}: '{text}' is no address and port")),
@@ -109,6 +122,7 @@
         )?,
         known: file.known.map(RosterNews::try_from).transpose().map_err(|what| format!("known.{what}"))?,
         terms,
+        unknown,
     })
 }
 
@@ -156,6 +170,18 @@
     fn a_sound_file_is_read() {
         let station = parse(GOOD, |_| None).expect("sound");
         assert_eq!((station.seed, station.name.as_str(), station.peers.len()), (0x8c1f, "merlinreel", 1));
+        assert!(station.unknown.is_empty());
+    }
+
+    #[test]
+    fn a_key_that_means_nothing_is_named() {
+        let text = GOOD.replace("\"memory_mb\"", "\"memory\"").replace(
+            "\"peers\":[\"127.0.0.1:1\"]",
+            "\"known\":\
+            {\"generation\":1,\"odd\":1},\"peer\":[],\"peers_all\":\"127.0.0.1:1\"",
+        );
+        let station = parse(&text, |_| None).expect("sound");
+        assert_eq!(station.unknown, ["peer", "limits.memory"]);
     }
 
     #[test]
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -32,7 +32,9 @@
 /// time and I/O; one thread is enough.
 pub async fn run(station: config::Station, stop: impl Future<Output = ()>) -> io::Result<()> {
     let clock = driver::Clock::start();
-    let config::Station { name, listen, discovery, peer_listen, peers, seed, limits, terms, known } = station;
+    let config::Station { name, listen, discovery, peer_listen, peers, seed, limits, terms, known, unknown } =
+        station;
+    unknown.iter().for_each(|key| log!("configuration: key {key} is not known and has no effect"));
     let named =
         |what: &str, at, error: io::Error| io::Error::new(error.kind(), format!("{what}: {at}: {error}"));
     let (queue, news) = mpsc::channel(limits.queue);
