--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -22,7 +22,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{sleep, timeout, timeout_at};
 
 const TXN: HeaderName = HeaderName::from_static("x-txn");
 const LANE: HeaderName = HeaderName::from_static("x-lane");
@@ -128,6 +128,8 @@
 /// One client's connection.
 struct Guest {
     busy: AtomicBool,
+    /// It has sent a request before.
+    known: AtomicBool,
     /// It was idle and has to give way.
     evicted: AtomicBool,
     idle_since: Mutex<Instant>,
@@ -136,6 +138,16 @@
     leaving: Mutex<Option<mpsc::OwnedPermit<News>>>,
 }
 
+impl Guest {
+    /// Nothing is likely to be on its way here. Guards against dropping a new connection whose first request
+    /// was not read yet: clients send that one again for connections that they used before only.
+    fn idles(&self, limits: &Limits) -> bool {
+        let set = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        let settled = if set(&self.known) { limits.client_settled } else { limits.client_silent };
+        !set(&self.busy) && !set(&self.evicted) && lock(&self.idle_since).elapsed() >= settled
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -167,6 +179,7 @@
 impl<'a> Hand<'a> {
     fn take(door: &'a Door, guest: &'a Guest) -> Hand<'a> {
         guest.busy.store(true, Ordering::Relaxed);
+        guest.known.store(true, Ordering::Relaxed);
         Hand { door, guest, number: door.in_hand.fetch_add(1, Ordering::Relaxed) }
     }
 }
@@ -262,9 +275,12 @@
 
     async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
         loop {
-            // Before the wait for a place: idle connections must not hold them all.
+            // Idle connections must not hold all places: looked at before the wait for one, and during it.
             self.make_room();
-            let Ok(place) = places.clone().acquire_owned().await else { return };
+            let Ok(place) = timeout(self.limits.client_settled, places.clone().acquire_owned()).await else {
+                continue;
+            };
+            let Ok(place) = place else { return };
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -277,6 +293,7 @@
             let Ok(leaving) = self.queue.clone().reserve_owned().await else { return };
             let guest = Arc::new(Guest {
                 busy: AtomicBool::new(false),
+                known: AtomicBool::new(false),
                 evicted: AtomicBool::new(false),
                 idle_since: Mutex::new(Instant::now()),
                 close: Notify::new(),
@@ -299,8 +316,7 @@
         if guests.len() < self.limits.clients {
             return;
         }
-        let set = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
-        let idle = guests.values().filter(|guest| !set(&guest.busy) && !set(&guest.evicted));
+        let idle = guests.values().filter(|guest| guest.idles(&self.limits));
         if let Some(oldest) = idle.min_by_key(|guest| *lock(&guest.idle_since)) {
             oldest.evicted.store(true, Ordering::Relaxed);
             oldest.close.notify_one();
@@ -318,20 +334,29 @@
             .header_read_timeout(self.limits.client_idle)
             .max_buf_size(self.limits.head)
             .serve_connection(TokioIo::new(stream), service);
-        let close = guest.close.notified();
-        tokio::pin!(connection, close);
-        let mut closing = false;
+        let (close, turn) = (guest.close.notified(), sleep(Duration::ZERO));
+        tokio::pin!(connection, close, turn);
+        let (mut closing, mut evicted) = (false, false);
         loop {
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return,
-                // Guards against one that never sent anything: asked to close, it would stay.
-                () = &mut close, if !closing => {
-                    let (busy, evicted) = (&guest.busy, &guest.evicted);
-                    if evicted.load(Ordering::Relaxed) && !busy.load(Ordering::Relaxed) {
+                // A request may have come in unseen: the poller gets a turn before it is dropped. Guards also
+                // against one that never sent anything: asked to close, it would stay.
+                () = &mut turn, if evicted => {
+                    if !guest.busy.load(Ordering::Relaxed) {
                         return;
                     }
+                    evicted = false;
+                    connection.as_mut().graceful_shutdown();
+                }
+                () = &mut close, if !closing => {
                     closing = true;
+                    if guest.evicted.load(Ordering::Relaxed) {
+                        evicted = true;
+                        turn.as_mut().reset(tokio::time::Instant::now() + Duration::from_millis(1));
+                        continue;
+                    }
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -26,6 +26,9 @@
     pub server_idle: Duration,
     /// A client's connection that sends nothing for this long is closed.
     pub client_idle: Duration,
+    /// Where places are short, it gives way after this without a request, or without its first one.
+    pub client_settled: Duration,
+    pub client_silent: Duration,
     /// Trips end so long before the client gives up, so that the answer is there in time.
     pub answer_margin: Duration,
     /// How long a watch of the roster may wait, how long its answer may be late, how soon a failed call
@@ -84,6 +87,8 @@
             // What is written to a connection that the server just closed is lost: far from that moment.
             server_idle: idle.mul_f64(0.6),
             client_idle: Duration::from_secs(60),
+            client_settled: Duration::from_millis(50),
+            client_silent: Duration::from_secs(1),
             answer_margin: Duration::from_millis(5),
             watch: Duration::from_secs(20),
             watch_slack: Duration::from_secs(2),
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -107,8 +107,9 @@
     }
 }
 
-async fn dial(discovery: SocketAddr) -> Result<Line, String> {
-    let stream = TcpStream::connect(discovery).await.map_err(|error| error.to_string())?;
+async fn dial(discovery: SocketAddr, within: Duration) -> Result<Line, String> {
+    let stream = timeout(within, TcpStream::connect(discovery)).await.map_err(|_| "no connection")?;
+    let stream = stream.map_err(|error| error.to_string())?;
     let _ = stream.set_nodelay(true);
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
@@ -145,12 +146,13 @@
         let call = async {
             let mut at = match line.take() {
                 Some(line) => line,
-                None => dial(discovery).await?,
+                None => dial(discovery, limits.connect).await?,
             };
             let news = ask(&mut at, discovery, path, limits.roster).await?;
             Ok((at, news))
         };
-        let late = limits.watch + limits.watch_slack;
+        // The full list comes at once, a watch's answer after its wait at the latest.
+        let late = limits.watch_slack + version.map_or(Duration::ZERO, |_| limits.watch);
         match timeout(late, call).await.unwrap_or_else(|_| Err("no answer".to_owned())) {
             Ok((at, news)) => {
                 line = Some(at);
