--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use merlinreel_core::{Job, Repeats};
 use merlinreel_settings::Terms;
 use std::collections::HashMap;
@@ -278,6 +278,7 @@
             // Idle connections must not hold all places: looked at before the wait for one, and during it.
             self.make_room();
             let Ok(place) = timeout(self.limits.client_settled, places.clone().acquire_owned()).await else {
+                log!("clients: all {} places are taken; new connections wait", self.limits.clients_most);
                 continue;
             };
             let Ok(place) = place else { return };
@@ -330,12 +331,13 @@
             async move { Ok::<_, Infallible>(door.request(request, &guest).await) }
         });
         let connection = Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.client_idle)
+            .header_read_timeout(None)
             .max_buf_size(self.limits.head)
             .serve_connection(TokioIo::new(stream), service);
         let (close, turn) = (guest.close.notified(), sleep(Duration::ZERO));
-        tokio::pin!(connection, close, turn);
+        // One timer a connection that looks when it was last used costs less than one a request.
+        let idle = sleep(self.limits.client_idle);
+        tokio::pin!(connection, close, turn, idle);
         let (mut closing, mut evicted) = (false, false);
         loop {
             tokio::select! {
@@ -350,6 +352,15 @@
                     evicted = false;
                     connection.as_mut().graceful_shutdown();
                 }
+                () = &mut idle, if !evicted => {
+                    let (busy, since) = (guest.busy.load(Ordering::Relaxed), *lock(&guest.idle_since));
+                    if !busy && since.elapsed() >= self.limits.client_idle {
+                        evicted = true;
+                        turn.as_mut().reset(tokio::time::Instant::now() + Duration::from_millis(1));
+                    }
+                    let next = if busy { Instant::now() } else { since } + self.limits.client_idle;
+                    idle.as_mut().reset(next.max(Instant::now() + Duration::from_millis(1)).into());
+                }
                 () = &mut close, if !closing => {
                     closing = true;
                     if guest.evicted.load(Ordering::Relaxed) {
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -72,8 +72,8 @@
             if terms.wire.server_idle.is_zero() { Duration::from_secs(15) } else { terms.wire.server_idle };
         let connect = terms.wire.connect_within;
         Ok(Limits {
-            // An eighth is kept to tell newcomers that it is busy.
-            clients: clients_most - clients_most / 8,
+            // A quarter is kept for who comes and goes, and to tell newcomers that it is busy.
+            clients: clients_most - clients_most / 4,
             clients_most,
             servers,
             jobs: if terms.jobs.most_held == 0 { clients_most } else { terms.jobs.most_held },
@@ -87,7 +87,7 @@
             // What is written to a connection that the server just closed is lost: far from that moment.
             server_idle: idle.mul_f64(0.6),
             client_idle: Duration::from_secs(60),
-            client_settled: Duration::from_millis(50),
+            client_settled: Duration::from_millis(10),
             client_silent: Duration::from_secs(1),
             answer_margin: Duration::from_millis(5),
             watch: Duration::from_secs(20),
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -606,6 +606,20 @@
         bytes
     }
 
+    /// A trip that has reached the server.
+    async fn begun(listener: &TcpListener, servers: &mut Servers, serial: u64) -> (Link, TcpStream) {
+        let link = servers.send(0, errand(serial, 1, LONG)).expect("a slot");
+        let mut stream = accept(listener).await;
+        request(&mut stream).await;
+        (link, stream)
+    }
+
+    /// The server answers it.
+    async fn done(stream: &mut TcpStream, news: &mut mpsc::Receiver<News>) -> TripNews {
+        stream.write_all(GOOD.as_bytes()).await.expect("written");
+        end(news).await
+    }
+
     const GOOD: &str = "HTTP/1.1 200 OK\r\nX-Units-Charged: 3\r\nX-Pressure: {\"queue\":2,\"util\":0.5,\"odd\":1}\r\n\
         Content-Length: 4\r\n\r\ndone";
 
@@ -623,9 +637,7 @@
     async fn what_comes_back_after_the_last_byte(text: &str) -> (Ending, bool) {
         let (listener, address) = listener().await;
         let (mut servers, mut news) = servers(address, 4);
-        let _link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
-        let mut stream = accept(&listener).await;
-        request(&mut stream).await;
+        let (_link, mut stream) = begun(&listener, &mut servers, 1).await;
         stream.write_all(text.as_bytes()).await.expect("written");
         drop(stream);
         let end = end(&mut news).await;
@@ -674,9 +686,7 @@
     async fn an_abandoned_trip_is_closed_before_its_end_is_told() {
         let (listener, address) = listener().await;
         let (mut servers, mut news) = servers(address, 4);
-        let link = servers.send(0, errand(5, 1, LONG)).expect("a slot");
-        let mut stream = accept(&listener).await;
-        request(&mut stream).await;
+        let (link, stream) = begun(&listener, &mut servers, 5).await;
         // An order for a trip that is over is none for this one.
         link.abandon(4);
         link.abandon(5);
@@ -693,8 +703,7 @@
         let mut two = accept(&listener).await;
         for stream in [&mut one, &mut two] {
             request(stream).await;
-            stream.write_all(GOOD.as_bytes()).await.expect("written");
-            end(&mut news).await;
+            done(stream, &mut news).await;
         }
         links.into_iter().for_each(|link| servers.keep(0, link));
         let _link = servers.send(0, errand(3, 1, LONG)).expect("an idle one");
@@ -706,11 +715,8 @@
     async fn a_connection_the_server_closed_while_idle_costs_no_trip() {
         let (listener, address) = listener().await;
         let (mut servers, mut news) = servers(address, 4);
-        let link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
-        let mut stream = accept(&listener).await;
-        request(&mut stream).await;
-        stream.write_all(GOOD.as_bytes()).await.expect("written");
-        end(&mut news).await;
+        let (link, mut stream) = begun(&listener, &mut servers, 1).await;
+        done(&mut stream, &mut news).await;
         servers.keep(0, link);
         drop(stream);
         while !servers.places[0].idle[0].orders.is_closed() {
@@ -719,8 +725,7 @@
         let _link = servers.send(0, errand(2, 1, LONG));
         let mut stream = accept(&listener).await;
         request(&mut stream).await;
-        stream.write_all(GOOD.as_bytes()).await.expect("written");
-        let end = end(&mut news).await;
+        let end = done(&mut stream, &mut news).await;
         assert_eq!((end.serial, end.ending), (2, Ending::Fulfilled));
     }
 
@@ -730,11 +735,8 @@
     async fn idle_connections_are_let_go_of(standing: Standing, port: u16) {
         let (listener, address) = listener().await;
         let (mut servers, mut news) = servers(address, 4);
-        let link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
-        let mut stream = accept(&listener).await;
-        request(&mut stream).await;
-        stream.write_all(GOOD.as_bytes()).await.expect("written");
-        end(&mut news).await;
+        let (link, mut stream) = begun(&listener, &mut servers, 1).await;
+        done(&mut stream, &mut news).await;
         let elsewhere = SocketAddr::from(([127, 0, 0, 1], if port == 0 { address.port() } else { port }));
         servers.list(list(elsewhere, standing), false);
         servers.keep(0, link);
@@ -748,11 +750,8 @@
         let (mut servers, mut news) = servers(address, 4);
         assert!(servers.limits.server_idle < Duration::from_secs(15));
         servers.limits.server_idle = Duration::from_millis(1);
-        let link = servers.send(0, errand(1, 1, LONG)).expect("a slot");
-        let mut stream = accept(&listener).await;
-        request(&mut stream).await;
-        stream.write_all(GOOD.as_bytes()).await.expect("written");
-        end(&mut news).await;
+        let (link, mut stream) = begun(&listener, &mut servers, 1).await;
+        done(&mut stream, &mut news).await;
         servers.keep(0, link);
         assert_eq!(timeout(LONG, stream.read(&mut [0; 8])).await.expect("closed").expect("in order"), 0);
     }
@@ -761,11 +760,8 @@
     async fn descriptors_for_servers_are_bounded_and_idle_ones_give_way() {
         let (listener, address) = listener().await;
         let (mut servers, mut news) = servers(address, 2);
-        let first = servers.send(0, errand(1, 1, LONG)).expect("a slot");
-        let mut stream = accept(&listener).await;
-        request(&mut stream).await;
-        stream.write_all(GOOD.as_bytes()).await.expect("written");
-        end(&mut news).await;
+        let (first, mut stream) = begun(&listener, &mut servers, 1).await;
+        done(&mut stream, &mut news).await;
         servers.places.push(Place { address, idle: vec![first] });
         let second = servers.send(0, errand(2, 1, LONG));
         assert!(second.is_some() && servers.send(0, errand(3, 1, LONG)).is_none());
