--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -66,8 +66,8 @@
     let plan = terms.wire.plans.iter().position(|name| name == plan);
     let plan = plan.ok_or("x-plan: unknown")?;
     text(&head.headers, &TXN)?;
-    let keyed = matches!(terms.categories[category].repeats, Repeats::Referenced(..));
-    if keyed && !head.headers.contains_key(IDEMPOTENCY_KEY) {
+    let referenced = matches!(terms.categories[category].repeats, Repeats::Referenced(..));
+    if referenced && !head.headers.contains_key(IDEMPOTENCY_KEY) {
         return Err("idempotency-key is missing".to_owned());
     }
     let pairs = head.uri.query().unwrap_or_default().split('&');
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -205,7 +205,7 @@
     #[test_case(r#"{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"odd"}]}"#,
         "instances[0].lifecycle: unknown 'odd'" ; "unknown state")]
     #[test_case("{", "EOF" ; "cut short")]
-    fn a_malformed_message_is_refused(text: &str, begins: &str) {
+    fn a_malformed_message_is_not_taken(text: &str, begins: &str) {
         let complaint = decode(text.as_bytes()).expect_err("malformed");
         assert!(complaint.starts_with(begins), "{complaint}");
     }
