--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -8,7 +8,7 @@
 mod state;
 
 /// A tariff: what each of its customers may use, over all limiters together.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Units a second that refill a customer's store; 0 means no such quota.
     pub rate: f64,
@@ -45,7 +45,7 @@
     SingleUse,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Category {
     /// Answers within this earn the full gain.
     pub target_time: Duration,
@@ -58,7 +58,7 @@
 }
 
 /// The limiters that share the quotas, and this one's place among them.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Peers {
     pub limiters: u32,
     pub me: u32,
@@ -75,7 +75,7 @@
 }
 
 /// What the rules say of servers that leave or have just started.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerRules {
     pub zone: u32,
     pub drain_grace: Duration,
@@ -95,7 +95,7 @@
 }
 
 /// What is allowed for one job.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct JobRules {
     pub most_trips: u32,
     pub second_copies: bool,
--- a/crates/merlinreel-settings/src/lib.rs
+++ b/crates/merlinreel-settings/src/lib.rs
@@ -99,7 +99,7 @@
 }
 
 /// What a limiter and its module are started with.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
     pub plans: Vec<Plan>,
     pub categories: Vec<Category>,
@@ -110,7 +110,7 @@
 }
 
 /// What only sockets need: the names on them, and what servers do with connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Wire {
     pub plans: Vec<String>,
     pub categories: Vec<String>,
--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -200,12 +200,15 @@
     tickets: AtomicU64,
     stopping: AtomicBool,
     in_hand: AtomicUsize,
+    /// Bytes of bodies that may still be taken in.
+    bodies: Arc<Semaphore>,
     guests: Mutex<HashMap<u64, Arc<Guest>>>,
 }
 
 impl Door {
     pub fn new(limits: Limits, terms: Terms, queue: Queue) -> Arc<Door> {
         Arc::new(Door {
+            bodies: Arc::new(Semaphore::new(limits.bodies)),
             limits,
             terms,
             queue,
@@ -397,13 +400,19 @@
             Err(what) => return last(respond(StatusCode::BAD_REQUEST, what + "\n")),
         };
         let until = sent + job.time_left;
+        let mut room = None;
         let body = if body.is_end_stream() {
             Bytes::new()
         } else {
-            let most = self.limits.body;
-            if body.size_hint().lower() > most as u64 {
+            let (most, length) = (self.limits.body, body.size_hint().lower());
+            if length > most as u64 {
                 return last(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
             }
+            // Guards the memory against many large bodies at once.
+            let Ok(taken) = self.bodies.clone().try_acquire_many_owned(length as u32) else {
+                return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n".to_owned()));
+            };
+            room = Some(taken);
             match timeout_at(until.into(), Limited::new(body, most).collect()).await {
                 Ok(Ok(body)) => body.to_bytes(),
                 Ok(Err(error)) if error.is::<LengthLimitError>() => {
@@ -419,7 +428,7 @@
             Some(_) => head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default(),
             None => head.uri,
         };
-        let parcel = Parcel { method: head.method, uri, headers: head.headers, body };
+        let parcel = Parcel { method: head.method, uri, headers: head.headers, body, room };
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (answer, answered) = oneshot::channel();
         let arrival = Arrival { ticket, job, until, parcel, answer };
--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -2,6 +2,7 @@
 //! Values of the environment stand in for keys that the file leaves out.
 
 use crate::limits::Limits;
+use crate::log;
 use crate::roster::{self, RosterNews};
 use merlinreel_settings::{Paths, Terms};
 use serde::Deserialize;
@@ -9,7 +10,7 @@
 use std::net::SocketAddr;
 
 /// What a limiter is run with.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Station {
     pub name: String,
     pub listen: SocketAddr,
@@ -71,6 +72,28 @@
     parse(&text, variable).map_err(|what| format!("{path}: {what}"))
 }
 
+/// Reads the file again, for a limiter that runs. The address of discovery is taken over, all else holds until
+/// the next start; a faulty file is named and changes nothing.
+pub fn reread(present: &mut Station, variable: impl Fn(&str) -> Option<String>) {
+    let new = match read(variable) {
+        Ok(new) => new,
+        Err(what) => return log!("configuration, read again: {what}; the one before stands"),
+    };
+    log!("configuration, read again: the roster is watched at {}", new.discovery);
+    let kept = [
+        ("name", new.name != present.name),
+        ("listen", new.listen != present.listen),
+        ("peer_listen", new.peer_listen != present.peer_listen),
+        ("peers", new.peers != present.peers),
+        ("limits", new.limits != present.limits),
+        ("settings", new.terms != present.terms),
+    ];
+    for (key, _) in kept.iter().filter(|(_, changed)| *changed) {
+        log!("configuration, read again: {key} is another, which holds from the next start on");
+    }
+    present.discovery = new.discovery;
+}
+
 /// Checks a configuration; a complaint begins with the key at fault.
 pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
     let (mut json, mut track) = (serde_json::Deserializer::from_str(text), serde_path_to_error::Track::new());
--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::sleep_until;
 
 /// The shared clock: Unix time, read once and advanced by the monotonic clock, so that windows align over
@@ -42,6 +42,8 @@
     /// End-to-end headers only.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Its place among the bodies in hand, given back with it.
+    pub room: Option<OwnedSemaphorePermit>,
 }
 
 /// A server's good answer.
@@ -438,9 +440,9 @@
             set_first: 0,
             again: false,
         };
-        let (method, uri, headers, body) = Default::default();
+        let (method, uri, headers, body, room) = Default::default();
         let until = Instant::now() + Duration::from_secs(60);
-        let parcel = Parcel { method, uri, headers, body };
+        let parcel = Parcel { method, uri, headers, body, room };
         (News::Arrival(Box::new(Arrival { ticket, job, until, parcel, answer })), answered)
     }
 
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -12,8 +12,9 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 /// Guards against a limiter that takes jobs and decides nothing: where the driver ends first, all does, to be
@@ -28,11 +29,15 @@
     }
 }
 
-/// Runs one limiter until `stop` ends and what it then holds is answered. Needs a runtime of tokio's with
-/// time and I/O; one thread is enough.
-pub async fn run(station: config::Station, stop: impl Future<Output = ()>) -> io::Result<()> {
+/// Runs one limiter until `stop` ends and what it then holds is answered; `discovery` tells where the roster
+/// is watched, at first and later. Needs a runtime of tokio's with time and I/O; one thread is enough.
+pub async fn run(
+    station: config::Station,
+    discovery: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
+) -> io::Result<()> {
     let clock = driver::Clock::start();
-    let config::Station { name, listen, discovery, peer_listen, peers, seed, limits, terms, known, unknown } =
+    let config::Station { name, listen, peer_listen, peers, seed, limits, terms, known, unknown, .. } =
         station;
     unknown.iter().for_each(|key| log!("configuration: key {key} is not known and has no effect"));
     let named =
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -3,7 +3,7 @@
 use merlinreel_settings::Terms;
 use std::time::Duration;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// Client connections served at once; further ones are answered that it is busy, up to `clients_most`.
     pub clients: usize,
@@ -15,8 +15,9 @@
     /// News waiting for the driver, and how many it takes into one round.
     pub queue: usize,
     pub round: usize,
-    /// Bytes of a body, either way, and of the head of a message.
+    /// Bytes of a body, either way, of all clients' bodies in hand, and of the head of a message.
     pub body: usize,
+    pub bodies: usize,
     pub head: usize,
     /// Bytes of a roster's answer.
     pub roster: usize,
@@ -49,17 +50,22 @@
 
 /// Descriptors that are neither clients' nor servers': standard streams, poller, listener, letters, roster.
 const OWN: usize = 24;
-/// Bytes that a connection may hold at worst, with its buffers; the module and the program take the rest.
-const CONNECTION_KB: usize = 160;
-const PROGRAM_MB: usize = 32;
+/// What the program and the module take: 4 MB on busy days, and as much again for a day with more customers.
+/// Guards against a start that is refused on a small machine, too.
+const PROGRAM_MB: usize = 8;
+/// Bytes that a connection may hold at worst, with its buffers: a client's has a body in the common share for
+/// bodies, a server's one of its own; two fifths of the connections are servers'.
+const CONNECTION_KB: usize = 64;
 
 impl Limits {
     pub fn new(sockets: u32, memory_mb: u32, terms: &Terms) -> Result<Limits, String> {
-        let memory = (memory_mb as usize).checked_sub(PROGRAM_MB).map(|mb| mb * 1024 / CONNECTION_KB);
-        let by_memory = memory.filter(|&connections| connections >= 32);
+        // A fifth for clients' bodies, most of which are far smaller than they may be.
+        let bodies = memory_mb as usize * 1024 / 5;
+        let memory = (memory_mb as usize * 1024).checked_sub(PROGRAM_MB * 1024 + bodies);
+        let by_memory = memory.map(|kb| kb / CONNECTION_KB).filter(|&connections| connections >= 32);
         let by_memory = by_memory.ok_or(format!(
             "limits.memory_mb: {memory_mb} is too little, {} are needed",
-            PROGRAM_MB + 32 * CONNECTION_KB / 1024
+            ((PROGRAM_MB * 1024 + 32 * CONNECTION_KB) * 5 / 4).div_ceil(1024)
         ))?;
         let by_sockets = (sockets as usize).checked_sub(OWN).filter(|&left| left >= 32);
         let by_sockets =
@@ -81,6 +87,7 @@
             queue: 4 * room + 256,
             round: 512,
             body: 64 * 1024,
+            bodies: bodies * 1024,
             head: 16 * 1024,
             roster: 4 * 1024 * 1024,
             connect: if connect.is_zero() { Duration::from_millis(250) } else { connect },
@@ -111,6 +118,7 @@
     #[test_case(1024, 192 ; "as scored")]
     #[test_case(64, 192 ; "few descriptors")]
     #[test_case(65536, 40 ; "little memory")]
+    #[test_case(256, 32 ; "a small machine")]
     fn all_descriptors_and_bytes_lie_within_what_is_given(sockets: u32, memory_mb: u32) {
         let terms =
             Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths)).expect("sound");
@@ -118,8 +126,9 @@
         let connections = limits.clients_most + limits.servers;
         assert!(limits.clients < limits.clients_most && limits.servers >= 12);
         assert!(connections + OWN <= sockets as usize);
-        // Bodies and buffers of both sides at their fullest.
-        assert!(connections * (limits.body + 2 * limits.head) < (memory_mb as usize) << 20);
+        // Bodies and buffers of both sides at their fullest, and the program itself.
+        let buffers = connections * 2 * limits.head + limits.servers * limits.body + limits.bodies;
+        assert!(buffers + (PROGRAM_MB << 20) <= (memory_mb as usize) << 20);
         assert!(limits.queue > 2 * connections);
     }
 }
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -43,14 +44,14 @@
 }
 
 /// The same, checked.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RosterNews {
     pub version: u64,
     pub whole: bool,
     pub servers: Vec<Listed>,
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
     pub name: String,
     pub address: SocketAddr,
@@ -133,9 +134,31 @@
     decode(&body.to_bytes())
 }
 
-/// Watches without end. Each call follows the last answer at once, as a watch lapses where it does not;
-/// after a failure the list stands, and the next call comes soon, on a connection of its own.
-pub async fn watch(discovery: SocketAddr, mut version: Option<u64>, limits: Limits, queue: Queue) {
+/// Watches without end, at the address that is told; where that changes, the open call is dropped and the
+/// other address is asked for the full list at once, as its versions may be others.
+pub async fn watch(
+    mut discovery: watch::Receiver<SocketAddr>,
+    mut version: Option<u64>,
+    limits: Limits,
+    queue: Queue,
+) {
+    loop {
+        let at = *discovery.borrow_and_update();
+        tokio::select! {
+            biased;
+            turned = discovery.changed() => match turned {
+                Ok(()) => version = None,
+                // Nobody is left to tell another.
+                Err(_) => return watch_at(at, version, &limits, &queue).await,
+            },
+            () = watch_at(at, version, &limits, &queue) => {}
+        }
+    }
+}
+
+/// Each call follows the last answer at once, as a watch lapses where it does not; after a failure the list
+/// stands, and the next call comes soon, on a connection of its own.
+async fn watch_at(discovery: SocketAddr, mut version: Option<u64>, limits: &Limits, queue: &Queue) {
     let mut line = None;
     let mut failing = false;
     loop {
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -553,6 +553,7 @@
             uri: Uri::from_static("/pay?key=07"),
             headers: HeaderMap::from_iter(headers),
             body: Bytes::from(vec![b'x'; body]),
+            room: None,
         })
     }
 
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -152,6 +152,34 @@
     assert_eq!((old.seen.try_iter().count(), new.seen.try_iter().count()), (0, 4));
 }
 
+/// Guards against SIGHUP's ending the program, and against a watch that stays with the old address.
+#[test]
+fn a_configuration_read_again_turns_the_watch_over_and_loses_nothing() {
+    let (old, new) = (StandIn::start(|_| React::Hang), StandIn::start(|_| fine()));
+    let silent = StandIn::start(|_| React::Hang);
+    let mut config = config(&[listed("s-1", old.address, "up")]);
+    config["discovery"] = silent.address.to_string().into();
+    let program = Program::start(&config);
+    let mut slow = program.client();
+    slow.send(&job("pay", 1, 1, "3000m"));
+    old.next();
+    assert!(silent.next().first.contains("after=1&"));
+    program.turn("{}");
+    let (tell, told) = channel();
+    let discovery = discovery(told);
+    // An older number than the one it had: another discovery counts for itself.
+    tell.send(roster(0, true, &[listed("s-2", new.address, "up")]).to_string()).expect("told");
+    config["discovery"] = discovery.address.to_string().into();
+    program.turn(&config.to_string());
+    assert_eq!(silent.closed.recv_timeout(PATIENCE), Ok(0));
+    assert_eq!(discovery.next().first, "GET /discovery/hosts HTTP/1.1");
+    assert!(discovery.next().first.contains("after=0&"));
+    assert_eq!(program.client().job("look", 2, 1).status(), 200);
+    assert_eq!(new.next().first, "GET /look?key=0000000000000002 HTTP/1.1");
+    // The job in hand has its end all the same.
+    assert_eq!(slow.receive().map(|answer| answer.status()), Some(502));
+}
+
 #[test]
 fn a_quota_holds_over_two_limiters() {
     let server = StandIn::start(|_| fine());
@@ -193,7 +221,7 @@
     server.next();
     let mut idle = program.client();
     assert_eq!(idle.job("look", 2, 1).status(), 200);
-    program.stop();
+    program.signal("-TERM");
     assert_eq!(program.client().job("look", 3, 1).status(), 200);
     assert!(idle.receive().is_none(), "closed between requests");
     release.send(()).expect("the server waits");
--- a/crates/merlinreel/tests/support/mod.rs
+++ b/crates/merlinreel/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -165,23 +166,25 @@
 /// The program, ended with the test.
 pub struct Program {
     child: Child,
+    file: PathBuf,
     pub address: SocketAddr,
 }
 
 impl Program {
-    fn spawn(config: &Value) -> Child {
+    fn spawn(config: &Value) -> (Child, PathBuf) {
         let port = config["listen"].as_str().unwrap_or("none").replace([':', '.'], "-");
         let path = std::env::temp_dir().join(format!("merlinreel-{}-{port}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).expect("a file for the configuration");
         let mut command = Command::new(env!("CARGO_BIN_EXE_merlinreel"));
         command.env_clear().env("PROXY_CONFIG", &path).stderr(Stdio::piped()).stdout(Stdio::null());
-        command.spawn().expect("the program")
+        (command.spawn().expect("the program"), path)
     }
 
     /// Starts it and waits until it says that it is ready.
     pub fn start(config: &Value) -> Program {
         let address = config["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
-        let program = Program { child: Program::spawn(config), address };
+        let (child, file) = Program::spawn(config);
+        let program = Program { child, file, address };
         let begun = Instant::now();
         while begun.elapsed() < PATIENCE {
             if let Ok(mut client) = Client::connect(address)
@@ -198,7 +201,7 @@
 
     /// Runs it to its end, for what it says there.
     pub fn complaint(config: &Value) -> (ExitStatus, String) {
-        let output = Program::spawn(config).wait_with_output().expect("an end");
+        let output = Program::spawn(config).0.wait_with_output().expect("an end");
         (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
     }
 
@@ -206,11 +209,17 @@
         Client::connect(self.address).expect("a connection")
     }
 
-    pub fn stop(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(sent.expect("the signal is sent").success());
     }
 
+    /// Puts another configuration in the file's place and has it read.
+    pub fn turn(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("the file is written");
+        self.signal("-HUP");
+    }
+
     pub fn end(&mut self) -> ExitStatus {
         self.child.wait().expect("an end")
     }
