--- a/crates/merlinreel-benchlink/src/host.rs
+++ b/crates/merlinreel-benchlink/src/host.rs
@@ -60,6 +60,7 @@
     round: Round,
     touched: bool,
     freed: Vec<u32>,
+    forgotten: Vec<u32>,
 }
 
 impl Instance {
@@ -85,6 +86,7 @@
     jobs: &'a Names,
     states: &'a mut Vec<JobState>,
     freed: &'a mut Vec<u32>,
+    forgotten: &'a mut Vec<u32>,
 }
 
 impl Reply<'_> {
@@ -185,6 +187,10 @@
         let _ = writeln!(self.out, "CLOSE_IDLE {}", self.servers.names[server as usize]);
     }
 
+    fn forget(&mut self, server: u32) {
+        self.forgotten.push(server);
+    }
+
     fn wake(&mut self, after: Duration) {
         self.line(format_args!("AFTER wake {:.6}", after.as_secs_f64()));
     }
@@ -384,6 +390,7 @@
             round: Round::default(),
             touched: true,
             freed: Vec::new(),
+            forgotten: Vec::new(),
         };
         if !self.order.contains(&name) {
             self.order.push(name.clone());
@@ -554,8 +561,10 @@
                 jobs: &instance.jobs,
                 states: &mut instance.states,
                 freed: &mut instance.freed,
+                forgotten: &mut instance.forgotten,
             };
             instance.limiter.round(self.now, &round, &mut reply);
+            instance.forgotten.drain(..).for_each(|server| instance.servers.remove(server));
             for job in instance.freed.drain(..) {
                 instance.jobs.remove(job);
             }
--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -71,22 +71,8 @@
             let edge = span((self.window + 1) as f64 * length);
             let passed = (window - self.window - 1) as f64;
             self.carried = (self.left(edge, plan) + passed * plan.rate * length).min(plan.burst);
-            let next = window == self.window + 1;
-            for pair in [&mut self.own, &mut self.counted, &mut self.tries, &mut self.told, &mut self.summed]
-            {
-                pair[1] = if next { pair[0] } else { 0.0 };
-                pair[0] = 0.0;
-            }
-            self.heard.swap(0, 1);
-            self.heard[0].clear();
-            let used = next && (self.own[1] != 0.0 || self.others(1) != 0.0);
-            if !next {
-                self.heard[1].clear();
-            }
-            self.news = [0, self.news[0] * u8::from(next)];
-            self.due = [false, next && (self.due[0] || used)];
-            self.spilled = 0.0;
-            self.window = window;
+            self.due =
+                [false, self.shift(window) && (self.due[0] || self.own[1] != 0.0 || self.others(1) != 0.0)];
         }
         let over = self.left(now, plan) - plan.burst;
         if over > 0.0 {
@@ -341,10 +327,8 @@
     }
 
     pub fn round(&mut self, now: Duration, round: &Round, out: &mut dyn Writer) {
-        if self.started.is_none() {
-            self.started = Some(now);
-            self.roster_lost = self.server_rules.roster_on_request;
-        }
+        self.roster_lost |= self.started.is_none() && self.server_rules.roster_on_request;
+        self.started.get_or_insert(now);
         round.roster.iter().for_each(|roster| self.follow(roster));
         round.letters.iter().for_each(|letter| self.read_letter(now, letter));
         round.counts.iter().for_each(|answer| self.read_count(now, answer));
@@ -363,6 +347,7 @@
                 out.follow_roster(true);
             }
             self.watch(now, out);
+            self.forget(now, out);
         }
         self.dispatch(now, out);
         if self.woken_at <= now {
@@ -374,15 +359,37 @@
     // ---- Quotas ----
 
     fn account(&mut self, now: Duration, customer: u64, plan: usize) -> usize {
-        let next = self.accounts.len();
-        let i = *self.by_customer.entry(customer).or_insert(next);
-        if i == next {
-            self.accounts.push(Account::new(customer, plan, &self.plans[plan], self.peers, now));
-        }
+        let i =
+            self.by_customer.get(&customer).copied().unwrap_or_else(|| {
+                self.settle(Account::new(customer, plan, &self.plans[plan], self.peers, now))
+            });
         self.accounts[i].stir(i, &mut self.stirred);
         i
     }
 
+    /// Drops what no window, job or letter needs. Guards the memory against customers that come once, and
+    /// servers replaced without end; half a minute spares those that come back.
+    fn forget(&mut self, now: Duration, out: &mut dyn Writer) {
+        if now < self.swept_at + Duration::from_secs(1) {
+            return;
+        }
+        self.swept_at = now;
+        self.drop_accounts(|account, plan| {
+            account.quiet += 1;
+            // Both windows over, and a store as full as a new one's.
+            let quiet = f64::from(account.quiet) > (2.0 * window_length(plan)).max(30.0) && !account.stirred;
+            quiet && account.calling.is_none() && account.listeners.is_empty() && {
+                account.roll(now, plan);
+                account.left(now, plan) >= plan.burst
+            }
+        });
+        let over = |server: &mut Server| {
+            server.quiet = if server.entry.standing == Standing::Gone { server.quiet + 1 } else { 0 };
+            server.quiet > 30
+        };
+        self.drop_servers(over).into_iter().for_each(|server| out.forget(server));
+    }
+
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
         let counted = self.gathers() || self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
@@ -423,18 +430,9 @@
         }
         account.ceiling -= job.units;
         account.out += 1;
-        *slot(&mut self.jobs, job.job) = Some(OpenJob {
-            job: *job,
-            account: i,
-            arrived: now,
-            target: now + category.target_time.saturating_sub(elapsed),
-            give_up: now + job.time_left,
-            trips: Vec::new(),
-            window: (!welcome).then_some(account.window),
-            done: false,
-            queued: true,
-            ran: None,
-        });
+        let target = now + category.target_time.saturating_sub(elapsed);
+        let window = (!welcome).then_some(account.window);
+        *slot(&mut self.jobs, job.job) = Some(OpenJob::new(job, i, now, target, window));
         self.queue.push(job.job);
     }
 
@@ -660,7 +658,10 @@
             return;
         }
         if roster.whole {
-            self.servers.iter_mut().flatten().for_each(|server| server.listed = false);
+            self.servers
+                .iter_mut()
+                .flatten()
+                .for_each(|s| (s.listed, s.entry.standing) = (false, Standing::Gone));
         }
         let limiters = self.peers.limiters;
         for entry in &roster.entries {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -369,6 +369,30 @@
     listed(0)
 }
 
+/// Rounds a second apart; how many accounts and servers are kept then.
+#[test_case(33, 0.0, false => (0, 1) ; "a customer that came once, and a server that is gone")]
+#[test_case(20, 0.0, false => (1, 2) ; "not within half a minute")]
+#[test_case(33, 200.0, false => (1, 1) ; "a store that is not full again")]
+#[test_case(33, 0.0, true => (1, 2) ; "what an open job refers to")]
+fn forgetting(seconds: u32, used: f64, open: bool) -> (usize, usize) {
+    let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
+    let entries = vec![entry(1)];
+    limiter.follow(&Roster { whole: true, restored: false, unavailable: false, entries });
+    account(&mut limiter).add_own(0, used);
+    if open {
+        let trips = vec![Trip { server: 0, sent: at(1.0), out: true, revoked: true, overdue: true }];
+        let job = OpenJob::new(&job(), 0, at(1.0), at(900.0), None);
+        limiter.jobs = vec![Some(OpenJob { trips, queued: false, ..job })];
+    }
+    let mut notes = Notes::default();
+    (1..=seconds).for_each(|second| limiter.round(at(f64::from(second)), &Round::default(), &mut notes));
+    let kept = (limiter.by_customer.len(), limiter.servers.iter().flatten().count());
+    assert_eq!(notes.lines.iter().filter(|line| *line == "forget 0").count(), 2 - kept.1);
+    // The next customer takes the place of one that was forgotten.
+    assert_eq!(limiter.account(at(99.0), 78, 0), kept.0);
+    kept
+}
+
 #[test_case(1.0, 1 ; "at once when it was not asked of late")]
 #[test_case(0.2, 0 ; "not again within half a second")]
 fn a_lost_roster_is_asked_for_again(when: f64, calls: usize) {
--- a/crates/merlinreel-core/src/decide/tests/helpers.rs
+++ b/crates/merlinreel-core/src/decide/tests/helpers.rs
@@ -45,6 +45,9 @@
     fn close_idle(&mut self, server: u32) {
         self.add(format!("close {server}"));
     }
+    fn forget(&mut self, server: u32) {
+        self.add(format!("forget {server}"));
+    }
     fn wake(&mut self, _: Duration) {}
     fn note(&mut self, text: &str) {
         self.add(text.to_owned());
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -253,6 +253,8 @@
     fn follow_roster(&mut self, on: bool);
     fn ask_roster(&mut self);
     fn close_idle(&mut self, server: u32);
+    /// Nothing is kept of this server any more: its index may be another's from now on.
+    fn forget(&mut self, server: u32);
     /// Calls the module again after this, even if nothing came in.
     fn wake(&mut self, after: Duration);
     fn note(&mut self, text: &str);
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -124,6 +124,8 @@
     pub out: u32,
     pub ceiling: f64,
     pub ceiling_at: Duration,
+    /// Times it was looked at since a job or a letter spoke of it.
+    pub quiet: u32,
 }
 
 #[derive(Default)]
@@ -147,6 +149,8 @@
     pub down: bool,
     pub sends: Ring,
     pub cut_at: Duration,
+    /// Times it was looked at since the roster or a job spoke of it.
+    pub quiet: u32,
 }
 
 pub struct Trip {
@@ -173,6 +177,24 @@
     pub ran: Option<(u32, Duration)>,
 }
 
+impl OpenJob {
+    /// Admitted and waiting for its first trip.
+    pub fn new(job: &Job, account: usize, now: Duration, target: Duration, window: Option<u64>) -> OpenJob {
+        OpenJob {
+            job: *job,
+            account,
+            arrived: now,
+            target,
+            give_up: now + job.time_left,
+            trips: Vec::new(),
+            window,
+            done: false,
+            queued: true,
+            ran: None,
+        }
+    }
+}
+
 /// One limiter: what it was started with and all that it keeps.
 pub struct Limiter {
     pub(crate) plans: Vec<Plan>,
@@ -182,6 +204,8 @@
     pub(crate) job_rules: JobRules,
     pub(crate) chance: WyRand,
     pub(crate) accounts: Vec<Account>,
+    /// Places of accounts that were forgotten.
+    pub(crate) free_accounts: Vec<usize>,
     pub(crate) by_customer: HashMap<u64, usize>,
     pub(crate) stirred: Vec<usize>,
     pub(crate) servers: Vec<Option<Server>>,
@@ -204,6 +228,7 @@
     pub(crate) started: Option<Duration>,
     pub(crate) beat_at: Duration,
     pub(crate) woken_at: Duration,
+    pub(crate) swept_at: Duration,
     pub(crate) letters: u64,
     /// Letters that may go out now; by peer, when it was told last and how many letters it left unanswered.
     pub(crate) letter_room: f64,
@@ -250,6 +275,22 @@
         self.heard[i][from] = total;
     }
 
+    /// The pairs turn to a later window; says whether it is the next one.
+    pub fn shift(&mut self, window: u64) -> bool {
+        let next = window == self.window + 1;
+        for pair in [&mut self.own, &mut self.counted, &mut self.tries, &mut self.told, &mut self.summed] {
+            *pair = [0.0, if next { pair[0] } else { 0.0 }];
+        }
+        self.heard.swap(0, 1);
+        self.heard[0].clear();
+        if !next {
+            self.heard[1].clear();
+        }
+        self.news = [0, self.news[0] * u8::from(next)];
+        (self.spilled, self.window) = (0.0, window);
+        next
+    }
+
     /// Index of a window in the pairs; older ones are dropped, as are ones yet to come.
     pub fn place(&self, window: u64) -> Option<usize> {
         (0..2).find(|&i| self.window.checked_sub(i as u64) == Some(window))
@@ -257,6 +298,7 @@
 
     /// Only accounts that something touched can have news.
     pub fn stir(&mut self, i: usize, stirred: &mut Vec<usize>) {
+        self.quiet = 0;
         if !std::mem::replace(&mut self.stirred, true) {
             stirred.push(i);
         }
@@ -303,6 +345,7 @@
             losing: 0.0,
             idle: false,
             accounts: Vec::new(),
+            free_accounts: Vec::new(),
             by_customer: HashMap::new(),
             stirred: Vec::new(),
             servers: Vec::new(),
@@ -311,12 +354,55 @@
             started: None,
             beat_at: Duration::ZERO,
             woken_at: Duration::ZERO,
+            swept_at: Duration::ZERO,
             letters: 0,
             roster_lost: false,
             roster_at: Duration::ZERO,
         }
     }
 
+    /// A place for a customer's account, which nothing refers to yet.
+    pub(crate) fn settle(&mut self, account: Account) -> usize {
+        let i = self.free_accounts.pop().unwrap_or(self.accounts.len());
+        self.by_customer.insert(account.customer, i);
+        if i < self.accounts.len() {
+            self.accounts[i] = account;
+        } else {
+            self.accounts.push(account);
+        }
+        i
+    }
+
+    /// Drops the accounts that no job refers to and that are over.
+    pub(crate) fn drop_accounts(&mut self, mut over: impl FnMut(&mut Account, &Plan) -> bool) {
+        let mut kept = vec![false; self.accounts.len()];
+        let held = self.jobs.iter().flatten().map(|open| open.account);
+        held.chain(self.free_accounts.iter().copied()).for_each(|i| kept[i] = true);
+        for (i, account) in self.accounts.iter_mut().enumerate().filter(|(i, _)| !kept[*i]) {
+            if over(account, &self.plans[account.plan]) {
+                self.by_customer.remove(&account.customer);
+                // What it measured goes with it.
+                *account = Account::default();
+                self.free_accounts.push(i);
+            }
+        }
+    }
+
+    /// Drops the servers that no job refers to and that are over, and says which.
+    pub(crate) fn drop_servers(&mut self, mut over: impl FnMut(&mut Server) -> bool) -> Vec<u32> {
+        let mut kept = vec![false; self.servers.len()];
+        let trips = self.jobs.iter().flatten().flat_map(|open| &open.trips);
+        trips.for_each(|trip| kept[trip.server as usize] = true);
+        let mut dropped = Vec::new();
+        for (i, place) in self.servers.iter_mut().enumerate().filter(|(i, _)| !kept[*i]) {
+            if place.as_mut().is_some_and(&mut over) {
+                *place = None;
+                dropped.push(i as u32);
+            }
+        }
+        dropped
+    }
+
     /// How many plans and categories there are; a job names one of each.
     pub fn sizes(&self) -> (usize, usize) {
         (self.plans.len(), self.categories.len())
--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -392,6 +392,10 @@
         self.servers.close_idle(server);
     }
 
+    fn forget(&mut self, server: u32) {
+        self.servers.forget(server);
+    }
+
     fn wake(&mut self, after: Duration) {
         let at = self.now + after;
         self.wake_at = Some(self.wake_at.map_or(at, |set| set.min(at)));
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -23,8 +23,9 @@
     pub roster: usize,
     /// A connection to a server must be up within this.
     pub connect: Duration,
-    /// One that is idle for this long is dropped.
+    /// One that is idle for this long is dropped; a server that ends one behind an answer does so within this.
     pub server_idle: Duration,
+    pub server_settled: Duration,
     /// A client's connection closes after this without a request, or with one that is not whole, the first
     /// counted from the connection's beginning.
     pub client_idle: Duration,
@@ -98,6 +99,8 @@
             connect: if connect.is_zero() { Duration::from_millis(250) } else { connect },
             // What is written to a connection that the server just closed is lost: far from that moment.
             server_idle: idle.mul_f64(0.6),
+            // Measured: those closed behind an answer were so within 23 ms, evenly spread.
+            server_settled: Duration::from_millis(25),
             client_idle: Duration::from_secs(10),
             // Who sends nothing usable is owed an end within 3 s, which a busy machine must keep too.
             client_whole: Duration::from_millis(2200),
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -15,7 +15,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use merlinreel_core::{Ending, Load, ProbeAnswer, Roster, RosterEntry};
+use merlinreel_core::{Ending, Load, ProbeAnswer, Roster, RosterEntry, Standing};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -57,11 +57,33 @@
 }
 
 struct Place {
+    /// As it was listed last.
+    entry: RosterEntry,
     address: SocketAddr,
-    idle: Vec<Link>,
+    /// With the time since when, the newest last.
+    idle: Vec<(Instant, Link)>,
 }
 
-/// The servers by index, with their idle connections, the newest last.
+impl Place {
+    fn stands(&self) -> bool {
+        self.entry.standing != Standing::Gone
+    }
+
+    /// No trip goes there any more.
+    fn leave(&mut self) {
+        self.entry.standing = Standing::Gone;
+        self.idle.clear();
+    }
+
+    /// The newest idle connection that is settled, so that few are kept; else the oldest. Guards trips against
+    /// servers that end a connection behind an answer, where the end crosses the next trip.
+    fn take(&mut self, now: Instant, settled: Duration) -> Option<Link> {
+        let i = self.idle.iter().rposition(|(since, _)| now.duration_since(*since) >= settled).unwrap_or(0);
+        (i < self.idle.len()).then(|| self.idle.remove(i).1)
+    }
+}
+
+/// The servers by index, with their idle connections.
 pub struct Servers {
     limits: Limits,
     zones: Vec<String>,
@@ -70,6 +92,8 @@
     probes: bool,
     names: HashMap<String, u32>,
     places: Vec<Place>,
+    /// Indices of servers that were forgotten.
+    free: Vec<u32>,
     slots: Arc<Semaphore>,
     queue: Queue,
 }
@@ -83,6 +107,7 @@
             probes: terms.servers.probes,
             names: HashMap::new(),
             places: Vec::new(),
+            free: Vec::new(),
             slots: Arc::new(Semaphore::new(limits.servers)),
             limits,
             queue,
@@ -93,40 +118,74 @@
         &self.limits
     }
 
-    /// Maps names to indices at the door; a server keeps its index for good.
+    /// Maps names to indices at the door; a server keeps its index until the module forgets it.
     pub fn list(&mut self, news: RosterNews, restored: bool) -> Roster {
         let mut entries = Vec::with_capacity(news.servers.len());
+        if news.whole {
+            // Who is not on it is gone.
+            self.places.iter_mut().for_each(|place| place.leave());
+        }
         for listed in news.servers {
-            let next = self.places.len() as u32;
-            let server = *self.names.entry(listed.name).or_insert(next);
-            if server == next {
-                self.places.push(Place { address: listed.address, idle: Vec::new() });
-            }
-            let place = &mut self.places[server as usize];
-            place.address = listed.address;
-            if listed.standing != merlinreel_core::Standing::Up {
-                place.idle.clear();
-            }
             let zone = self.zones.iter().position(|zone| *zone == listed.zone).unwrap_or_else(|| {
                 self.zones.push(listed.zone);
                 self.zones.len() - 1
             });
-            entries.push(RosterEntry {
-                server,
+            let mut entry = RosterEntry {
+                server: 0,
                 zone: zone as u32,
                 cell: listed.cell,
                 standing: listed.standing,
                 weight: listed.weight,
                 up_since: listed.up_since,
-            });
+            };
+            entry.server = match self.names.get(&listed.name) {
+                Some(&server) => server,
+                None => {
+                    entries.extend(self.replace(listed.address));
+                    self.place(listed.name, entry, listed.address)
+                }
+            };
+            let place = &mut self.places[entry.server as usize];
+            (place.entry, place.address) = (entry, listed.address);
+            if listed.standing != Standing::Up {
+                place.idle.clear();
+            }
+            entries.push(entry);
         }
         Roster { whole: news.whole, restored, unavailable: false, entries }
     }
 
-    /// Starts a trip on the newest idle connection, else on a new one; none where all descriptors are taken.
+    /// Guards against trips to a server that is gone, but not told so yet, where another took its address.
+    fn replace(&mut self, address: SocketAddr) -> Option<RosterEntry> {
+        let before = self.places.iter_mut().find(|place| place.address == address && place.stands())?;
+        before.leave();
+        Some(before.entry)
+    }
+
+    fn place(&mut self, name: String, entry: RosterEntry, address: SocketAddr) -> u32 {
+        let server = self.free.pop().unwrap_or(self.places.len() as u32);
+        let place = Place { entry, address, idle: Vec::new() };
+        match self.places.get_mut(server as usize) {
+            Some(old) => *old = place,
+            None => self.places.push(place),
+        }
+        self.names.insert(name, server);
+        server
+    }
+
+    /// Its index is free for another. Guards the memory against servers replaced without end.
+    pub fn forget(&mut self, server: u32) {
+        self.names.retain(|_, index| *index != server);
+        if let Some(place) = self.places.get_mut(server as usize) {
+            place.leave();
+            self.free.push(server);
+        }
+    }
+
+    /// Starts a trip on an idle connection, else on a new one; none where all descriptors are taken.
     pub fn send(&mut self, server: u32, mut errand: Errand) -> Option<Link> {
         let place = self.places.get_mut(server as usize)?;
-        while let Some(link) = place.idle.pop() {
+        while let Some(link) = place.take(errand.started, self.limits.server_settled) {
             if link.address != place.address {
                 continue;
             }
@@ -171,8 +230,8 @@
         if let Some(place) =
             self.places.get_mut(server as usize).filter(|place| place.address == link.address)
         {
-            place.idle.retain(|link| !link.orders.is_closed());
-            place.idle.push(link);
+            place.idle.retain(|(_, link)| !link.orders.is_closed());
+            place.idle.push((Instant::now(), link));
         }
     }
 
@@ -535,7 +594,6 @@
 mod tests {
     use super::*;
     use hyper::{Method, Uri};
-    use merlinreel_core::Standing;
     use test_case::test_case;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
@@ -701,8 +759,44 @@
         assert_eq!(stream.try_read(&mut [0; 8]).expect("the end is there already"), 0);
     }
 
+    /// Guards against growth with every server ever listed, and against trips to one whose address another took.
+    #[tokio::test]
+    async fn an_index_is_another_s_once_it_is_forgotten_and_an_address_once_it_is_taken() {
+        let (_, address) = listener().await;
+        let (mut servers, _news) = servers(address, 4);
+        let mut named = |name: &str, port: u16, whole: bool| {
+            let mut news = list(SocketAddr::from(([127, 0, 0, 9], port)), Standing::Up);
+            (news.whole, news.servers[0].name) = (whole, name.to_owned());
+            let entries = servers.list(news, false).entries;
+            if whole {
+                servers.forget(0);
+            }
+            entries.iter().map(|entry| (entry.server, entry.standing)).collect::<Vec<_>>()
+        };
+        assert_eq!(named("s-2", 1, false), [(1, Standing::Up)]);
+        assert_eq!(named("s-3", 1, false), [(1, Standing::Gone), (2, Standing::Up)]);
+        // The list is whole, so the first server is gone, and forgotten.
+        assert_eq!(named("s-3", 1, true), [(2, Standing::Up)]);
+        assert_eq!(named("s-4", 2, false), [(0, Standing::Up)]);
+    }
+
+    #[test_case(&[40, 30, 1] => Some(30) ; "the newest that is settled")]
+    #[test_case(&[3, 2, 1] => Some(3) ; "the oldest where none is")]
+    #[test_case(&[] => None ; "none")]
+    fn the_idle_connection_for_a_trip(idle: &[u64]) -> Option<u64> {
+        let now = Instant::now() + LONG;
+        let link = |ms: &u64| {
+            let address = SocketAddr::from(([127, 0, 0, 1], *ms as u16));
+            (now - Duration::from_millis(*ms), Link { orders: mpsc::channel(1).0, address })
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let mut place =
+            Place { entry: RosterEntry::default(), address, idle: idle.iter().map(link).collect() };
+        place.take(now, Duration::from_millis(25)).map(|link| link.address.port().into())
+    }
+
     #[tokio::test]
-    async fn one_trip_a_connection_and_the_newest_idle_one_first() {
+    async fn one_trip_a_connection_and_idle_ones_first() {
         let (listener, address) = listener().await;
         let (mut servers, mut news) = servers(address, 4);
         let links = [1, 2].map(|serial| servers.send(0, errand(serial, 1, LONG)).expect("a slot"));
@@ -714,7 +808,8 @@
         }
         links.into_iter().for_each(|link| servers.keep(0, link));
         let _link = servers.send(0, errand(3, 1, LONG)).expect("an idle one");
-        let bytes = request(&mut two).await;
+        // None is settled: the oldest.
+        let bytes = request(&mut one).await;
         assert_eq!(wire_length(&encode(&parcel(1), LONG), 1) as usize, bytes.len());
     }
 
@@ -726,7 +821,7 @@
         done(&mut stream, &mut news).await;
         servers.keep(0, link);
         drop(stream);
-        while !servers.places[0].idle[0].orders.is_closed() {
+        while !servers.places[0].idle[0].1.orders.is_closed() {
             sleep(Duration::from_millis(1)).await;
         }
         let _link = servers.send(0, errand(2, 1, LONG));
@@ -787,7 +882,8 @@
         let (mut servers, mut news) = servers(address, 2);
         let (first, mut stream) = begun(&listener, &mut servers, 1).await;
         done(&mut stream, &mut news).await;
-        servers.places.push(Place { address, idle: vec![first] });
+        let entry = RosterEntry { server: 1, ..RosterEntry::default() };
+        servers.places.push(Place { entry, address, idle: vec![(Instant::now(), first)] });
         let second = servers.send(0, errand(2, 1, LONG));
         assert!(second.is_some() && servers.send(0, errand(3, 1, LONG)).is_none());
         assert_eq!(timeout(LONG, stream.read(&mut [0; 8])).await.expect("closed").expect("in order"), 0);
