--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -7,12 +7,13 @@
 use crate::log;
 use crate::servers::strip_hop_by_hop;
 use crate::stream::{Tallied, Tally};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use merlinreel_core::Job;
 use merlinreel_settings::Terms;
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -231,8 +232,11 @@
     /// How long nobody has come or asked for anything.
     fn idle_for(&self, since: Instant) -> Duration {
         let guests = lock(&self.guests);
-        let last =
-            guests.values().map(|guest| lock(&guest.times).idle).max().map_or(since, |at| at.max(since));
+        let last = guests.values().map(|guest| {
+            let times = lock(&guest.times);
+            times.heard.unwrap_or(times.idle)
+        });
+        let last = last.max().map_or(since, |at| at.max(since));
         last.elapsed()
     }
 
@@ -342,61 +346,64 @@
         }
         // The whole request must be there by then, whatever time the client claims to have.
         let due = guest.due(&self.limits).min(sent + self.limits.client_whole);
+        guest.read(0);
+        let (job, parcel) = match self.read(request, sent, due).await {
+            Ok(whole) => whole,
+            Err(answer) => return last(answer),
+        };
         let hand = Hand::take(self, guest);
         // The places beyond are kept to say so to whoever comes, at once.
         if hand.number >= self.limits.clients {
             return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()));
         }
-        self.job(request, guest, sent, due).await
+        self.job(job, parcel, sent + job.time_left, guest).await
     }
 
-    async fn job(
+    /// The whole of a request, or what is wrong with it. Until it is there nothing is taken, so that one that is
+    /// never whole can give way to others.
+    async fn read(
         &self,
         request: Request<Incoming>,
-        guest: &Guest,
         sent: Instant,
         due: Instant,
-    ) -> Response<Full<Bytes>> {
+    ) -> Result<(Job, Parcel), Response<Full<Bytes>>> {
         let (mut head, body) = request.into_parts();
-        let job = match decode(&head, &self.terms) {
-            Ok(job) => job,
-            Err(what) => return last(respond(StatusCode::BAD_REQUEST, what + "\n")),
-        };
-        let until = sent + job.time_left;
+        let job = decode(&head, &self.terms).map_err(|what| respond(StatusCode::BAD_REQUEST, what + "\n"))?;
         let mut room = None;
         let body = if body.is_end_stream() {
             Bytes::new()
         } else {
             let (most, length) = (self.limits.body, body.size_hint().lower());
             if length > most as u64 {
-                return last(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
+                return Err(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
             }
             // Guards the memory against many large bodies at once.
             room = self.claims.body(length as usize);
             if room.is_none() {
-                return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n".to_owned()));
+                return Err(respond(StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n".to_owned()));
             }
             // Guards the place against a body that never ends.
-            match timeout_at(until.min(due).into(), Limited::new(body, most).collect()).await {
+            let due = due.min(sent + job.time_left);
+            match timeout_at(due.into(), Limited::new(body, most).collect()).await {
                 Ok(Ok(body)) => body.to_bytes(),
-                Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                    return last(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
-                }
-                Ok(Err(error)) => return last(respond(StatusCode::BAD_REQUEST, format!("{error}\n"))),
-                Err(_) => return last(respond(StatusCode::REQUEST_TIMEOUT, String::new())),
+                Ok(Err(error)) => return Err(respond(StatusCode::BAD_REQUEST, format!("{error}\n"))),
+                Err(_) => return Err(respond(StatusCode::REQUEST_TIMEOUT, String::new())),
             }
         };
         let id = head.headers.get(TXN).and_then(|id| self.claims.open(id, room));
-        let Some(claim) = id else {
-            return last(respond(StatusCode::CONFLICT, "x-txn: such a job is open\n".to_owned()));
-        };
+        let claim =
+            id.ok_or_else(|| respond(StatusCode::CONFLICT, "x-txn: such a job is open\n".to_owned()))?;
         strip_hop_by_hop(&mut head.headers);
         // Servers get the path alone, whichever form the client's target had.
         let uri = match head.uri.authority() {
             Some(_) => head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default(),
             None => head.uri,
         };
-        let parcel = Parcel { method: head.method, uri, headers: head.headers, body, claim: Some(claim) };
+        let claim = Some(claim);
+        Ok((job, Parcel { method: head.method, uri, headers: head.headers, body, claim }))
+    }
+
+    async fn job(&self, job: Job, parcel: Parcel, until: Instant, guest: &Guest) -> Response<Full<Bytes>> {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (answer, answered) = oneshot::channel();
         let arrival = Arrival { ticket, job, until, parcel, answer };
@@ -437,7 +444,12 @@
     fn who_leaves_for_others(served: usize, places: usize) -> Vec<usize> {
         let terms = Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths));
         let limits = Limits::new(1024, 192, &terms.expect("sound")).expect("room");
-        let limits = Limits { clients: served, clients_most: places, ..limits };
+        let limits = Limits {
+            clients: served,
+            clients_most: places,
+            client_unended: Duration::from_secs(9),
+            ..limits
+        };
         let mut guests =
             vec![guest(9, 5.0, None), guest(1, 4.0, None), guest(1, 3.0, None), guest(0, 1.0, None)];
         // With its first request under way, and with one in hand.
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -106,7 +106,7 @@
             client_whole: Duration::from_millis(2200),
             client_settled: Duration::from_millis(10),
             client_silent: Duration::from_millis(30),
-            client_unended: Duration::from_secs(1),
+            client_unended: Duration::from_millis(100),
             answer_margin: Duration::from_millis(5),
             watch: Duration::from_secs(20),
             watch_slack: Duration::from_secs(2),
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -135,10 +135,13 @@
     answer.map(|answer| answer.status())
 }
 
-/// Crowds that send nothing, or ask once and stay, hold no place that others need.
-#[test_case(false ; "silent")]
-#[test_case(true ; "asked once")]
-fn a_crowd_that_stays_takes_nobody_s_place(asks: bool) {
+/// Crowds that send nothing, ask once and stay, or never end what they send, hold no place that others need.
+#[test_case("", 0 ; "silent")]
+#[test_case("GET /look?key=7 HTTP/1.1\r\nHost:", 0 ; "half a head")]
+#[test_case("POST /pay?key=7 HTTP/1.1\r\nHost: svc\r\nX-Txn: 1\r\nX-Plan: team\r\nX-Remaining: 9000m\r\n\
+    X-Quota: units=1,spread=1,first=0\r\nContent-Length: 10\r\n\r\nhalf", 0 ; "half a body")]
+#[test_case("", 1 ; "asked once")]
+fn a_crowd_that_stays_takes_nobody_s_place(sends: &str, jobs: usize) {
     let server = StandIn::start(|_| fine());
     let mut config = config(&[listed("s-1", server.address, "up")]);
     config["limits"]["sockets"] = 80.into();
@@ -146,11 +149,16 @@
     let crowd: Vec<Client> = (0..150)
         .map(|customer| {
             let mut client = program.client();
-            assert!(!asks || client.job("look", 10 + customer, 1).status() == 200);
+            client.send(sends);
+            assert!((0..jobs).all(|_| client.job("look", 10 + customer, 1).status() == 200));
             client
         })
         .collect();
-    assert_eq!(program.client().job("look", 1000, 1).status(), 200);
+    // Well inside its time: nobody of the crowd is due yet.
+    assert_eq!(
+        program.client().call(&job("look", 1000, 1, "2100m")).map(|answer| answer.status()),
+        Some(200)
+    );
     drop(crowd);
 }
 
