--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use merlinreel_core::{Ending, Load, ProbeAnswer, Roster, RosterEntry, Standing};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -440,7 +441,7 @@
             let before = open.sent.bytes();
             let said = match self.carry(&mut open, &errand).await {
                 // The server closed while it was idle, and nothing of this trip was written: it starts anew.
-                Err(Ending::NoConnection) if before > 0 && open.sent.bytes() == before => continue,
+                Err(Ending::TurnedAway) if before > 0 && open.sent.bytes() == before => continue,
                 said => said,
             };
             // Nothing of the job stays with a connection that rests.
@@ -483,7 +484,9 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log!("server at {address}: no connection: {error}");
-                return Err(Ending::NoConnection);
+                // Reset is one that was up, refused is none.
+                let up = error.kind() == ErrorKind::ConnectionReset;
+                return Err(if up { Ending::TurnedAway } else { Ending::NoConnection });
             }
             Err(_) => {
                 log!("server at {address}: no connection within {within:?}");
@@ -539,7 +542,9 @@
             log!("server at {}: connection broke {part} a trip's last byte", self.address);
         }
         Err(match ending {
-            Ending::Dropped if never_ran => Ending::NoConnection,
+            // Guards a server that lives against being taken for a dead one, and for a cold one after that: it
+            // took the connection and would not have the trip.
+            Ending::Dropped if never_ran => Ending::TurnedAway,
             _ if never_ran => Ending::Unsent,
             ending => ending,
         })
@@ -726,7 +731,7 @@
     }
 
     // More than the buffers of both sides hold.
-    #[test_case(1 << 26, true, Ending::NoConnection ; "the server closes before the last byte")]
+    #[test_case(1 << 26, true, Ending::TurnedAway ; "the server closes before the last byte")]
     #[test_case(1 << 26, false, Ending::Unsent ; "the time is over before the last byte")]
     #[test_case(1, true, Ending::Dropped ; "the server closes after it")]
     #[test_case(1, false, Ending::Expired ; "the time is over after it")]
