--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -61,7 +61,7 @@
     fn due(&self, limits: &Limits) -> Instant {
         let times = lock(&self.times);
         match (self.requests.load(Ordering::Relaxed), times.heard) {
-            (0, _) => times.idle + limits.client_whole,
+            (0, _) | (1, None) => times.idle + limits.client_whole,
             (_, Some(heard)) => heard + limits.client_whole,
             (_, None) => times.idle + limits.client_idle,
         }
@@ -98,14 +98,14 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// As many idle connections as are there beyond what is served at once; one that comes back only where all places
-/// are taken.
+/// As many idle connections as are there beyond what may stay idle; one that comes back only where all places are
+/// taken. Guards against a front that holds so many connections and no more, which crowds that stay would fill.
 fn who_gives_way<'a>(
     guests: impl ExactSizeIterator<Item = &'a Arc<Guest>>,
     limits: &Limits,
 ) -> Vec<&'a Guest> {
     let all = guests.len() + 1;
-    if all <= limits.clients {
+    if all <= limits.clients_kept {
         return Vec::new();
     }
     // What was asked before to give way may still be there.
@@ -116,7 +116,7 @@
         idle.retain(|guest| guest.requests.load(Ordering::Relaxed) < 2);
     }
     idle.sort_unstable_by_key(|guest| guest.rank());
-    idle.truncate((all - limits.clients).saturating_sub(leaving.len()));
+    idle.truncate((all - limits.clients_kept).saturating_sub(leaving.len()));
     idle
 }
 
@@ -441,11 +441,11 @@
     #[test_case(6, 9 => vec![3] ; "who never asked first")]
     #[test_case(3, 9 => vec![3, 1, 2] ; "then who asked once, the longest idle first")]
     #[test_case(2, 6 => vec![3, 1, 2, 0] ; "who comes back where all places are taken")]
-    fn who_leaves_for_others(served: usize, places: usize) -> Vec<usize> {
+    fn who_leaves_for_others(kept: usize, places: usize) -> Vec<usize> {
         let terms = Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths));
         let limits = Limits::new(1024, 192, &terms.expect("sound")).expect("room");
         let limits = Limits {
-            clients: served,
+            clients_kept: kept,
             clients_most: places,
             client_unended: Duration::from_secs(9),
             ..limits
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -8,6 +8,8 @@
     /// Client connections served at once; further ones are answered that it is busy, up to `clients_most`.
     pub clients: usize,
     pub clients_most: usize,
+    /// Beyond these the idle ones of who came once give way.
+    pub clients_kept: usize,
     /// Connections to servers, open or opening.
     pub servers: usize,
     /// Jobs held at once.
@@ -26,8 +28,8 @@
     /// One that is idle for this long is dropped; a server that ends one behind an answer does so within this.
     pub server_idle: Duration,
     pub server_settled: Duration,
-    /// A client's connection closes after this without a request, or with one that is not whole, the first
-    /// counted from the connection's beginning.
+    /// A client's connection closes after this without a request; or after that with one that is not whole, the
+    /// first counted from the connection's beginning, and without a second one.
     pub client_idle: Duration,
     pub client_whole: Duration,
     /// Where places are short, it gives way after this: idle between requests, without its first one, or with
@@ -86,6 +88,8 @@
             // A quarter is kept for who comes and goes, and to tell newcomers that it is busy.
             clients: clients_most - clients_most / 4,
             clients_most,
+            // Fronts hold up to a third of the descriptors: idle ones must end short of that.
+            clients_kept: (sockets as usize / 4).min(clients_most - clients_most / 4),
             servers,
             jobs: if terms.jobs.most_held == 0 { clients_most } else { terms.jobs.most_held },
             // Each connection may have a job and its leaving there, each trip its end.
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -129,12 +129,24 @@
     let server = StandIn::start(|_| fine());
     let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
     let mut known = program.client();
-    assert_eq!(known.job("look", 1, 1).status(), 200);
+    assert!((0..2).all(|customer| known.job("look", customer, 1).status() == 200));
     let answer = program.client().call(text);
     assert_eq!(known.job("look", 2, 1).status(), 200);
     answer.map(|answer| answer.status())
 }
 
+/// Guards against crowds that ask once and hold all that a front may hold; who comes back is kept longer.
+#[test]
+fn who_asked_once_and_stays_is_let_go_of() {
+    let server = StandIn::start(|_| fine());
+    let program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    let (mut once, mut twice) = (program.client(), program.client());
+    assert_eq!(once.job("look", 1, 1).status(), 200);
+    assert!((2..4).all(|customer| twice.job("look", customer, 1).status() == 200));
+    assert!(once.receive().is_none());
+    assert_eq!(twice.job("look", 4, 1).status(), 200);
+}
+
 /// Crowds that send nothing, ask once and stay, or never end what they send, hold no place that others need.
 #[test_case("", 0 ; "silent")]
 #[test_case("GET /look?key=7 HTTP/1.1\r\nHost:", 0 ; "half a head")]
