The test of a burst of connections no longer turns on how busy the machine is

Cause: the test opened 120 connections before it sent their first requests. Beyond the kept ones, a connection that stays silent for 30 ms gives way (limits.rs, client_silent), which on a machine held up for that long is every one of them. Probe: a sleep of 40 ms before the requests failed it each time; twelve busy loops beside the whole suite did not. Ruled out: a request dropped unread, as who was read first gets its answer whenever it is there.

What the test was for, a connection asked to give way whose first request came in unseen, is now tested without a clock: the request lies in the socket before the connection is served, the asking too. Without the poller's turn in Door::serve the test fails (connection reset). The test of idle clients lets a held-up one come again.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -437,18 +437,44 @@
         Arc::new(guest)
     }
 
+    fn terms() -> Terms {
+        Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths)).expect("sound")
+    }
+
+    fn limits() -> Limits {
+        Limits::new(1024, 192, &terms()).expect("room")
+    }
+
+    /// Asked to give way, with a first request that came in unseen: it has its answer.
+    #[tokio::test]
+    async fn what_came_in_unseen_is_answered() -> std::io::Result<()> {
+        use std::io::{Read, Write};
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+        client.write_all(b"GET /up HTTP/1.1\r\n\r\n")?;
+        let (stream, _) = listener.accept()?;
+        stream.set_nonblocking(true)?;
+        let (queue, _news) = mpsc::channel(1);
+        let asked = guest(0, 1.0, None);
+        asked.evicted.store(true, Ordering::Relaxed);
+        asked.close.notify_one();
+        Door::new(limits(), terms(), queue).serve(TcpStream::from_std(stream)?, asked).await;
+        let mut answer = String::new();
+        client.read_to_string(&mut answer)?;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        Ok(())
+    }
+
     #[test_case(7, 9 => Vec::<usize>::new() ; "nobody where there is room")]
     #[test_case(6, 9 => vec![3] ; "who never asked first")]
     #[test_case(3, 9 => vec![3, 1, 2] ; "then who asked once, the longest idle first")]
     #[test_case(2, 6 => vec![3, 1, 2, 0] ; "who comes back where all places are taken")]
     fn who_leaves_for_others(kept: usize, places: usize) -> Vec<usize> {
-        let terms = Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths));
-        let limits = Limits::new(1024, 192, &terms.expect("sound")).expect("room");
         let limits = Limits {
             clients_kept: kept,
             clients_most: places,
             client_unended: Duration::from_secs(9),
-            ..limits
+            ..limits()
         };
         let mut guests =
             vec![guest(9, 5.0, None), guest(1, 4.0, None), guest(1, 3.0, None), guest(0, 1.0, None)];
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -317,34 +317,20 @@
     let mut config = config(&[listed("s-1", server.address, "up")]);
     config["limits"]["sockets"] = 80.into();
     let program = Program::start(&config);
-    let mut clients: Vec<Client> = (0..100)
-        .map(|customer| {
-            let mut client = program.client();
-            assert_eq!(client.job("look", customer, 1).status(), 200);
-            client
-        })
-        .collect();
+    // One that is held up between its connection and its request may be taken for silent: it comes again.
+    let come = |customer| {
+        let mut client = program.client();
+        let answer = client.call(&job("look", customer, 1, "3000m"))?;
+        assert_eq!(answer.status(), 200);
+        Some(client)
+    };
+    let mut clients: Vec<Client> =
+        (0..100).map(|customer| (0..50).find_map(|_| come(customer)).expect("an answer")).collect();
     // The newest are still open, the oldest gave way.
     assert_eq!(clients[99].job("look", 1000, 1).status(), 200);
     assert!(clients[0].call(&job("look", 1001, 1, "3000m")).is_none());
 }
 
-/// Connections that come in a burst, each with its first request at once: none may be dropped unread.
-#[test]
-fn a_burst_of_new_connections_has_an_answer_each() {
-    let server = StandIn::start(|_| fine());
-    let mut config = config(&[listed("s-1", server.address, "up")]);
-    config["limits"]["sockets"] = 80.into();
-    let program = Program::start(&config);
-    for _ in 0..5 {
-        let mut clients: Vec<Client> = (0..120).map(|_| program.client()).collect();
-        for (customer, client) in (0..).zip(&mut clients) {
-            client.send(&job("look", customer, 1, "3000m"));
-        }
-        assert!(clients.iter_mut().all(|client| client.receive().is_some()));
-    }
-}
-
 #[test]
 fn with_every_connection_busy_newcomers_are_told_so() {
     let server = StandIn::start(|_| React::Hang);
