--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -112,8 +112,9 @@
             client_silent: Duration::from_millis(30),
             client_unended: Duration::from_millis(100),
             answer_margin: Duration::from_millis(5),
-            watch: Duration::from_secs(20),
-            watch_slack: Duration::from_secs(2),
+            // The agent is near and asked at no cost: a call that has fallen silent must not hide changes for long.
+            watch: Duration::from_secs(1),
+            watch_slack: Duration::from_millis(500),
             watch_retry: Duration::from_millis(100),
             probe: Duration::from_millis(250),
             stop_least: Duration::from_millis(500),
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -160,7 +160,8 @@
 /// stands, and the next call comes soon, on a connection of its own.
 async fn watch_at(discovery: SocketAddr, mut version: Option<u64>, limits: &Limits, queue: &Queue) {
     let mut line = None;
-    let mut failing = false;
+    // Calls in a row that failed.
+    let mut failed = 0;
     loop {
         let path = match version {
             Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.watch.as_millis()),
@@ -174,25 +175,27 @@
             let news = ask(&mut at, discovery, path, limits.roster).await?;
             Ok((at, news))
         };
-        // The full list comes at once, a watch's answer after its wait at the latest.
-        let late = limits.watch_slack + version.map_or(Duration::ZERO, |_| limits.watch);
+        // The full list comes at once, a watch's answer after its wait at the latest. Later ones are waited for
+        // longer: guards a list that never was there in time.
+        let late = limits.watch_slack * 2u32.pow(failed.min(2));
+        let late = late + version.map_or(Duration::ZERO, |_| limits.watch);
         match timeout(late, call).await.unwrap_or_else(|_| Err("no answer".to_owned())) {
             Ok((at, news)) => {
                 line = Some(at);
                 version = Some(news.version);
-                if failing {
+                if failed > 0 {
                     log!("roster: discovery answers again");
                 }
-                failing = false;
+                failed = 0;
                 if !news.servers.is_empty() || news.whole {
                     let _ = queue.send(News::Roster(news)).await;
                 }
             }
             Err(what) => {
-                if !failing {
+                if failed == 0 {
                     log!("roster: {what}; the list stands");
                 }
-                failing = true;
+                failed = failed.saturating_add(1);
                 sleep(limits.watch_retry).await;
             }
         }
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -216,24 +216,40 @@
 fn the_roster_is_followed_and_silence_keeps_it() {
     let (old, new) = (StandIn::start(|_| fine()), StandIn::start(|_| fine()));
     let (tell, told) = channel();
-    let discovery = discovery(told);
-    let mut config = config(&[listed("s-1", old.address, "up")]);
-    config["discovery"] = discovery.address.to_string().into();
-    let program = Program::start(&config);
-    let mut client = program.client();
-    assert_eq!(client.job("look", 1, 1).status(), 200);
-    assert!(discovery.next().first.contains("after=1&wait_ms="));
     let changes = [listed("s-1", old.address, "draining"), listed("s-2", new.address, "up")];
     tell.send(roster(2, false, &changes).to_string()).expect("told");
     // What makes no sense changes nothing, nor a call that breaks: asked for again from the last version.
     tell.send("{}".to_owned()).expect("told");
     tell.send("break".to_owned()).expect("told");
+    let discovery = discovery(told);
+    let mut config = config(&[listed("s-1", old.address, "up")]);
+    config["discovery"] = discovery.address.to_string().into();
+    let program = Program::start(&config);
+    assert!(discovery.next().first.contains("after=1&wait_ms="));
     (0..3).for_each(|_| assert!(discovery.next().first.contains("after=2&")));
-    old.seen.try_iter().for_each(drop);
+    let mut client = program.client();
     (2..6).for_each(|customer| assert_eq!(client.job("look", customer, 1).status(), 200));
     assert_eq!((old.seen.try_iter().count(), new.seen.try_iter().count()), (0, 4));
 }
 
+/// Guards against a call that has fallen silent, with which all changes would stay unknown.
+#[test]
+fn a_watch_that_falls_silent_is_asked_again_elsewhere() {
+    let server = StandIn::start(|_| fine());
+    let text = roster(2, false, &[listed("s-1", server.address, "up")]).to_string();
+    let discovery =
+        StandIn::start(
+            move |call| if call.connection == 0 { React::Hang } else { answer("200 OK", "", &text) },
+        );
+    let mut config = config(&[]);
+    config["discovery"] = discovery.address.to_string().into();
+    let program = Program::start(&config);
+    assert!(discovery.next().first.contains("after=1&wait_ms="));
+    assert!(discovery.next().first.contains("after=1&wait_ms="));
+    discovery.next();
+    assert_eq!(program.client().job("look", 1, 1).status(), 200);
+}
+
 /// Guards against SIGHUP's ending the program, and against a watch that stays with the old address.
 #[test]
 fn a_configuration_read_again_turns_the_watch_over_and_loses_nothing() {
