--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -1,6 +1,7 @@
 //! The limiter on sockets: clients' HTTP/1.1 in front of the decision module, servers behind it. Each file
 //! has one job; `driver` is the only one that knows the module.
 
+pub mod answers;
 pub mod claims;
 pub mod clients;
 pub mod config;
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -17,9 +17,12 @@
     /// News waiting for the driver, and how many it takes into one round.
     pub queue: usize,
     pub round: usize,
-    /// Bytes of a body, either way, of all clients' bodies in hand, and of the head of a message.
+    /// Bytes of a client's body, of all clients' bodies in hand, and of the head of a message. An answer of no more
+    /// has its place with its connection; of a larger one, and of all larger ones in hand.
     pub body: usize,
     pub bodies: usize,
+    pub answer: usize,
+    pub answers: usize,
     pub head: usize,
     /// Bytes of a roster's answer.
     pub roster: usize,
@@ -68,11 +71,13 @@
     pub fn new(sockets: u32, memory_mb: u32, terms: &Terms) -> Result<Limits, String> {
         // A fifth for clients' bodies, most of which are far smaller than they may be.
         let bodies = memory_mb as usize * 1024 / 5;
-        let memory = (memory_mb as usize * 1024).checked_sub(PROGRAM_MB * 1024 + bodies);
+        // And a tenth for answers that are larger than most.
+        let answers = bodies / 2;
+        let memory = (memory_mb as usize * 1024).checked_sub(PROGRAM_MB * 1024 + bodies + answers);
         let by_memory = memory.map(|kb| kb / CONNECTION_KB).filter(|&connections| connections >= 32);
         let by_memory = by_memory.ok_or(format!(
             "limits.memory_mb: {memory_mb} is too little, {} are needed",
-            ((PROGRAM_MB * 1024 + 32 * CONNECTION_KB) * 5 / 4).div_ceil(1024)
+            ((PROGRAM_MB * 1024 + 32 * CONNECTION_KB) * 10 / 7).div_ceil(1024)
         ))?;
         let by_sockets = (sockets as usize).checked_sub(OWN).filter(|&left| left >= 32);
         let by_sockets =
@@ -97,6 +102,9 @@
             round: 512,
             body: 64 * 1024,
             bodies: bodies * 1024,
+            // Two at a time at least.
+            answer: (answers * 1024 / 2).min(4 * 1024 * 1024),
+            answers: answers * 1024,
             // As much as servers usually take.
             head: 8 * 1024,
             roster: 4 * 1024 * 1024,
@@ -143,8 +151,11 @@
         assert!(limits.clients < limits.clients_most && limits.servers >= 12);
         assert!(connections + OWN <= sockets as usize);
         // Bodies and buffers of both sides at their fullest, and the program itself.
-        let buffers = connections * 2 * limits.head + limits.servers * limits.body + limits.bodies;
+        let buffers =
+            connections * 2 * limits.head + limits.servers * limits.body + limits.bodies + limits.answers;
         assert!(buffers + (PROGRAM_MB << 20) <= (memory_mb as usize) << 20);
         assert!(limits.queue > 2 * connections);
+        // What a page or a font takes.
+        assert!(limits.answer >= 1 << 20);
     }
 }
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -1,6 +1,7 @@
 //! Trips to servers: the pool of connections, and one task for each of them. A connection carries one
 //! trip at a time; nothing is ever sent again by itself.
 
+use crate::answers::Room;
 use crate::driver::{Delivery, News, Parcel, Queue, TripNews};
 use crate::limits::Limits;
 use crate::log;
@@ -89,6 +90,7 @@
     limits: Limits,
     zones: Vec<String>,
     loads_in_answers: bool,
+    room: Room,
     loads_in_probes: bool,
     probes: bool,
     names: HashMap<String, u32>,
@@ -104,6 +106,7 @@
         Servers {
             zones: terms.wire.zones.clone(),
             loads_in_answers: terms.wire.loads_in_answers,
+            room: Room::new(&limits),
             loads_in_probes: terms.wire.loads_in_probes,
             probes: terms.servers.probes,
             names: HashMap::new(),
@@ -205,6 +208,7 @@
             address,
             limits: self.limits.clone(),
             loads: self.loads_in_answers,
+            room: self.room.clone(),
             queue: self.queue.clone(),
         };
         tokio::spawn(carrier.run(errand, slot));
@@ -423,6 +427,7 @@
     address: SocketAddr,
     limits: Limits,
     loads: bool,
+    room: Room,
     queue: Queue,
 }
 
@@ -506,7 +511,7 @@
         let request = encode(&errand.parcel, errand.until.saturating_duration_since(Instant::now()));
         let whole = up.sent.bytes() + wire_length(&request, errand.parcel.body.len());
         let Up { sender, connection, sent, over } = up;
-        let (most, loads) = (self.limits.body, self.loads);
+        let (most, loads, room) = (self.limits.answer, self.loads, self.room.clone());
         let answer = async {
             sender.ready().await.ok()?;
             let (head, body) = sender.send_request(request).await.ok()?.into_parts();
@@ -514,7 +519,7 @@
                 return None;
             }
             // The whole of it, before the client is answered.
-            let body = Limited::new(body, most).collect().await.ok()?.to_bytes();
+            let body = room.whole(body).await?;
             Some(Response::from_parts(head, body))
         };
         let limit = sleep_until(errand.until.into());
@@ -695,7 +700,7 @@
     #[test_case("HTTP/1.1 500 Odd\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n" => (Ending::Error, true) ; "the header alone proves nothing")]
     #[test_case("" => (Ending::Dropped, false) ; "no answer")]
     #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndo" => (Ending::Dropped, false) ; "half an answer")]
-    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" => (Ending::Dropped, false) ; "too long an answer")]
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" => (Ending::Dropped, false) ; "too long an answer")]
     #[test_case("HTTP/1.1 200 OK\r\n\r\ndone" => (Ending::Dropped, false) ; "an answer that ends with the connection")]
     #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\ndone" => (Ending::Dropped, false) ; "two lengths")]
     #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
