--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -347,6 +347,7 @@
                 out.follow_roster(true);
             }
             self.watch(now, out);
+            self.gauge(now);
             self.forget(now, out);
         }
         self.dispatch(now, out);
@@ -657,11 +658,8 @@
         if roster.unavailable {
             return;
         }
-        if roster.whole {
-            self.servers
-                .iter_mut()
-                .flatten()
-                .for_each(|s| (s.listed, s.entry.standing) = (false, Standing::Gone));
+        for server in self.servers.iter_mut().flatten().filter(|_| roster.whole) {
+            (server.listed, server.entry.standing) = (false, Standing::Gone);
         }
         let limiters = self.peers.limiters;
         for entry in &roster.entries {
@@ -679,29 +677,32 @@
         }
     }
 
+    /// What a warm server was sent of late. While none is warm what was seen last holds, and a cold one gets a trip:
+    /// guards against a fleet taken for cold at a stroke, which would idle.
+    fn gauge(&mut self, now: Duration) {
+        let warm = |s: &&mut Server| s.listed && s.cold_since.is_none() && now >= s.benched_until;
+        let sends = self.servers.iter_mut().flatten().filter(warm).map(|server| server.sends.sum(now));
+        let (count, sum) = sends.fold((0.0, 0.0), |(count, sum), sends| (count + 1.0, sum + sends));
+        let least = 1.0 / self.server_rules.start_share.max(0.05);
+        self.warm_sends = if count > 0.0 { sum / count } else { self.warm_sends.max(least) };
+    }
+
     /// The server for a trip: credit left there, and the least work in hand for its pace.
     fn choose(&mut self, now: Duration, job: u32) -> Option<u32> {
         let open = self.jobs[job as usize].as_ref()?;
         let category = &self.categories[open.job.category];
         let rules = &self.server_rules;
         // Where limiters are many, credits are parts of a trip: all together bound what is out.
-        let (mut credits, mut busy, mut warm, mut warm_sends) = (0.0, 0.0, 0.0, 0.0);
-        let any_cold = self.servers.iter().flatten().any(|server| server.cold_since.is_some());
-        for server in self.servers.iter_mut().flatten().filter(|server| server.listed) {
-            if any_cold && server.cold_since.is_none() {
-                (warm, warm_sends) = (warm + 1.0, warm_sends + server.sends.sum(now));
-            }
-            if now >= server.benched_until {
-                credits += server.credits * self.level * server.warmth(now, rules);
-                busy += f64::from(server.out);
-            }
+        let (mut credits, mut busy) = (0.0, 0.0);
+        for server in self.servers.iter().flatten().filter(|s| s.listed && now >= s.benched_until) {
+            credits += server.credits * self.level * server.warmth(now, rules);
+            busy += f64::from(server.out);
         }
         // Half of the credits left are room enough for what comes inside the quotas.
         self.idle = busy < 0.5 * credits && self.queue.is_empty();
         if busy + 1.0 > credits.max(1.0) {
             return None;
         }
-        let warm_sends = warm_sends / f64::max(warm, 1.0);
         let origin = open.ran.and_then(|(server, _)| self.servers[server as usize].as_ref()).map(|s| s.entry);
         let mut best: Option<(f64, u32)> = None;
         for (i, server) in self.servers.iter_mut().enumerate() {
@@ -734,7 +735,7 @@
             }
             // All limiters together send a cold server what warm ones get, times the warmth, far inside the
             // multiple allowed: a part of a trip a window is a whole one in some of the window's turns.
-            let part = if warm > 0.0 { warm_sends * warmth } else { 1.0 } - server.sends.sum(now);
+            let part = self.warm_sends * warmth - server.sends.sum(now);
             if warmth < 1.0 && part < 1.0 && turn * secs(rules.fall_time) >= part * 0.5 {
                 continue;
             }
@@ -812,10 +813,8 @@
             if !matches!(end.ending, Ending::Revoked | Ending::Expired | Ending::Unsent) {
                 server.owing_since = now;
             }
-            let unanswered = overdue && end.ending != Ending::Fulfilled;
-            if !unanswered
-                && !matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent)
-            {
+            let unseen = matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent);
+            if !unseen && (!overdue || end.ending == Ending::Fulfilled) {
                 // Four tenths of the target time leave room; beyond 2.5 calm ones servers only queue.
                 let long = (target * 0.4).min(self.calm * 2.5).max(0.001);
                 server.pace(now, took, long, floor, pressed);
@@ -842,10 +841,12 @@
                     server.errors += (1.0 - server.errors) * 0.1;
                     self.erring += (1.0 - self.erring) * 0.01;
                     server.drops += u32::from(end.ending == Ending::Dropped);
-                    // One drop is the link's; three with no answer between them are the server's.
-                    if server.drops >= 3 || server.fails(self.erring) {
+                    // One drop is the link's; three with no answer between them are the server's, or as many
+                    // as chance hardly brings where all fail often, as with answers that nobody can use.
+                    let lost = server.drops >= 3 && self.erring.powi(server.drops as i32) < 0.002;
+                    if lost || server.fails(self.erring) {
                         server.strike(now);
-                        server.down |= server.drops >= 3 && server.strikes >= 2;
+                        server.down |= lost && server.strikes >= 2;
                     }
                 }
                 Ending::TurnedAway => {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -219,6 +219,8 @@
     /// How long answers of all servers take against what is long, and the level over the credits it gives.
     pub(crate) strain: f64,
     pub(crate) level: f64,
+    /// Trips that a warm server got lately.
+    pub(crate) warm_sends: f64,
     /// Servers had credit to spare at the last choice.
     pub(crate) idle: bool,
     /// What answers take while servers are calm, and what tells it.
@@ -343,6 +345,7 @@
             strain: 0.0,
             level: 0.0,
             losing: 0.0,
+            warm_sends: 0.0,
             idle: false,
             accounts: Vec::new(),
             free_accounts: Vec::new(),
