--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -392,13 +392,14 @@
     }
 
     fn take(&mut self, now: Duration, job: &Job, out: &mut dyn Writer) {
-        let counted = self.gathers() || self.peers.counter && now >= self.behind_until;
+        let gathers = self.gathers();
+        let counted = gathers || self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
         let blind = secs(interval) + 0.03; // And the way of a letter or a call, some tens of ms.
         // Where one gathers, no peer is heard directly: past one beat a new quota would seem whole at each of
         // hundreds of limiters. Guards against that overspend: split until the gatherer speaks (as it answers
         // those that report within `LISTENED`); its word or a report heard ends the split.
-        let split = if self.gathers() { LISTENED } else { interval };
+        let split = if gathers { LISTENED } else { interval };
         let i = self.account(now, job.customer, job.plan);
         let (account, peers) = (&mut self.accounts[i], self.peers);
         let plan = &self.plans[account.plan];
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -222,16 +222,12 @@
 #[test_case(false => 1 ; "past a beat, no word yet: the first job only")]
 #[test_case(true => 4 ; "the gatherer tells a full store: all of them")]
 fn jobs_let_in_before_the_gatherers_word(told: bool) -> usize {
-    let mut limiter = limiter(Repeats::Replayable, many());
-    let mut notes = Notes::default();
+    let (mut limiter, mut notes) = (limiter(Repeats::Replayable, many()), Notes::default());
     let job = |n: u32| Job { job: n, set_size: 60, set_first: 1, ..job() };
     limiter.take(at(1.0), &job(0), &mut notes);
-    let gatherer = limiter.accounts[0].gatherer(many(), &[0; 90]);
-    let word = Row { asked: Some(1.0), ..row(0.0, Some(8.0)) };
-    let bytes = letter::write(Head { life: 1, number: 1 }, &[word]).remove(0);
-    if told {
-        limiter.read_letter(at(1.2), &Letter { from: gatherer, bytes });
-    }
+    let word = letter(1, 1, &[Row { asked: Some(1.0), ..row(0.0, Some(8.0)) }]);
+    let from = limiter.accounts[0].gatherer(many(), &[0; 90]);
+    told.then(|| limiter.read_letter(at(1.2), &Letter { from, ..word }));
     (1..4).for_each(|n| limiter.take(at(1.5), &job(n), &mut notes));
     4 - notes.lines.iter().filter(|line| line.starts_with("defer")).count()
 }
