Serve on the clients' socket handed down, share the letters' port, say yes on the ops door

Behind it: the process that follows could not bind the letters' UDP port, and the platform waits for its yes on the ops door, which did not exist. Ruled out: the configuration (it parses), memory and descriptors. Change: main puts $PROXY_LISTEN_FD into listenfd's systemd form (exec of its own image, no child) and run serves on it; SO_REUSEPORT for letters only where the socket is handed down; at SIGTERM the handed socket is let go of at once; the ops door (ops / $PROXY_OPS) answers GET /healthcheck, one call a connection, stalled callers cut off and the oldest giving way. A test starts two processes on one socket at descriptor 7.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -186,14 +186,33 @@
         })
     }
 
-    /// Takes connections until the stop, serves on while they come, and returns once nothing is in hand.
-    pub async fn attend(self: Arc<Door>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Whether jobs are taken: from the start to the stop.
+    pub fn serves(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Takes connections until the stop, serves on while they come, and returns once nothing is in hand. A socket
+    /// that was `handed` down stays open elsewhere, in the process that follows: it is let go of at the stop.
+    pub async fn attend(
+        self: Arc<Door>,
+        listener: TcpListener,
+        handed: bool,
+        stop: impl Future<Output = ()>,
+    ) {
         let places = Arc::new(Semaphore::new(self.limits.clients_most));
         tokio::pin!(stop);
         tokio::select! {
             () = self.accept(&listener, &places) => {}
             () = &mut stop => {}
         }
+        if handed {
+            // Guards against taking connections that the next process would serve, up to the end: what waits on
+            // the socket stays there for it.
+            log!("asked to stop: the socket is the next process's, finishing what is in hand");
+            self.stopping.store(true, Ordering::Relaxed);
+            drop(listener);
+            return self.finish(Instant::now()).await;
+        }
         log!("asked to stop: serving on for a moment, then finishing what is in hand");
         self.stopping.store(true, Ordering::Relaxed);
         let (least, most) = (self.limits.stop_least, self.limits.stop_most);
--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -15,6 +15,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The operators' door, where there is one.
+    pub ops: Option<SocketAddr>,
     /// Where letters arrive, and every limiter's address by its number, this one's included.
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
@@ -32,6 +34,7 @@
     name: Option<String>,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    ops: Option<SocketAddr>,
     seed: Option<Seed>,
     #[serde(default)]
     limits: Room,
@@ -135,6 +138,10 @@
         name: file.name.or_else(|| variable("PROXY_NAME")).unwrap_or_else(|| "merlinreel".to_owned()),
         listen: address("listen", file.listen, "PROXY_LISTEN")?,
         discovery: address("discovery", file.discovery, "PROXY_DISCOVERY")?,
+        ops: match (file.ops, variable("PROXY_OPS")) {
+            (None, None) => None,
+            (given, _) => Some(address("ops", given, "PROXY_OPS")?),
+        },
         peer_listen: file.peer_listen,
         peers: file.peers,
         seed,
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 pub mod limits;
 pub mod log;
+pub mod ops;
 pub mod peers;
 pub mod roster;
 pub mod servers;
@@ -17,6 +18,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -33,35 +35,67 @@
     }
 }
 
+/// What the operators' door tells.
+struct Told {
+    door: Arc<clients::Door>,
+}
+
+impl ops::Telling for Told {
+    fn serves(&self) -> bool {
+        self.door.serves()
+    }
+    fn stats(&self) -> String {
+        String::new()
+    }
+}
+
 /// Runs one limiter until `stop` ends and what it then holds is answered; `discovery` tells where the roster
-/// is watched, at first and later. Needs a runtime of tokio's with time and I/O; one thread is enough.
+/// is watched, at first and later. Clients come through `handed` where the platform holds their socket, else
+/// through `listen`. Needs a runtime of tokio's with time and I/O; one thread is enough.
 pub async fn run(
     station: config::Station,
+    handed: Option<std::net::TcpListener>,
     discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let clock = driver::Clock::start();
-    let config::Station { name, listen, peer_listen, peers, seed, limits, terms, known, unknown, .. } =
-        station;
+    let config::Station {
+        name, listen, ops, peer_listen, peers, seed, limits, terms, known, unknown, ..
+    } = station;
     unknown.iter().for_each(|key| log!("configuration: key {key} is not known and has no effect"));
     let named =
         |what: &str, at, error: io::Error| io::Error::new(error.kind(), format!("{what}: {at}: {error}"));
     let (queue, news) = mpsc::channel(limits.queue);
+    let inherited = handed.is_some();
     let post = match peer_listen.filter(|_| terms.peers.letters) {
-        Some(at) => {
-            Some(peers::Post::open(at, &peers).await.map_err(|error| named("peer_listen", at, error))?)
-        }
+        Some(at) => Some(
+            peers::Post::open(at, &peers, inherited)
+                .await
+                .map_err(|error| named("peer_listen", at, error))?,
+        ),
         None => None,
     };
-    let listener = TcpListener::bind(listen).await.map_err(|error| named("listen", listen, error))?;
+    let listener = match handed {
+        Some(handed) => {
+            TcpListener::from_std(handed).map_err(|error| named("PROXY_LISTEN_FD", listen, error))?
+        }
+        None => TcpListener::bind(listen).await.map_err(|error| named("listen", listen, error))?,
+    };
     let version = known.as_ref().map(|known| known.version);
     let servers = servers::Servers::new(limits.clone(), &terms, queue.clone());
     let driver = driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock);
     let mut driving = tokio::spawn(driver.run(known, news));
     let mut others = vec![tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone()))];
     others.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
-    log!("{name} takes jobs at {listen}");
-    let ended = attended(clients::Door::new(limits, terms, queue).attend(listener, stop), &mut driving).await;
+    let at = listener.local_addr().map_or_else(|_| listen.to_string(), |at| at.to_string());
+    log!("{name} takes jobs at {at}{}", if inherited { ", on the socket handed down" } else { "" });
+    let door = clients::Door::new(limits.clone(), terms, queue);
+    if let Some(at) = ops {
+        let listener = TcpListener::bind(at).await.map_err(|error| named("ops", at, error))?;
+        others.push(tokio::spawn(ops::attend(listener, limits, Arc::new(Told { door: door.clone() }))));
+    }
+    let door = door.attend(listener, inherited, stop);
+    let ended = attended(door, &mut driving).await;
     others.iter().chain([&driving]).for_each(|task| task.abort());
     ended
 }
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -56,6 +56,9 @@
     pub stop_most: Duration,
     pub stop_late: Duration,
     pub stop_quiet: Duration,
+    /// Connections to the operators' door at once, and the time in which a call must be whole.
+    pub ops_connections: usize,
+    pub ops_call: Duration,
 }
 
 /// Descriptors that are neither clients' nor servers': standard streams, poller, listener, letters, roster.
@@ -129,6 +132,10 @@
             stop_most: Duration::from_millis(700),
             stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
+            // Callers who hold one and never call are owed nothing; enough for staff and their scrapers.
+            ops_connections: 16,
+            // Answers are owed within 1 s: a whole call comes within half of that from a caller who means it.
+            ops_call: Duration::from_millis(500),
         })
     }
 }
--- a/crates/merlinreel/src/main.rs
+++ b/crates/merlinreel/src/main.rs
@@ -1,11 +1,46 @@
 //! One limiter, as its configuration says.
 
 use merlinreel::config;
-use std::process::ExitCode;
+use std::os::unix::process::CommandExt;
+use std::process::{Command, ExitCode};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-async fn run() -> Result<(), String> {
+/// The clients' listening socket, where the platform hands one down: as `$PROXY_LISTEN_FD` on days of upgrades,
+/// or in systemd's form. The first is put into the second by this process's replacing its own image once (the
+/// same process, no child), as the `listenfd` crate reads only that; guards against binding an address that the
+/// platform holds, which ends the limiter at start.
+fn inherited() -> Result<Option<std::net::TcpListener>, String> {
+    let variable = |name| std::env::var(name).ok();
+    if let Some(descriptor) = variable("PROXY_LISTEN_FD") {
+        let number: u32 =
+            descriptor.parse().map_err(|_| format!("PROXY_LISTEN_FD: '{descriptor}' is no descriptor"))?;
+        let own = std::process::id().to_string();
+        let told = variable("LISTEN_FDS_FIRST_FD") == Some(number.to_string())
+            && variable("LISTEN_FDS").as_deref() == Some("1")
+            && variable("LISTEN_PID") == Some(own.clone());
+        if !told {
+            let program = std::env::current_exe().map_err(|error| format!("PROXY_LISTEN_FD: {error}"))?;
+            let error = Command::new(program)
+                .args(std::env::args_os().skip(1))
+                .env("LISTEN_FDS", "1")
+                .env("LISTEN_FDS_FIRST_FD", number.to_string())
+                .env("LISTEN_PID", own)
+                .exec();
+            return Err(format!("PROXY_LISTEN_FD: the program could not take it over: {error}"));
+        }
+    }
+    let mut handed = listenfd::ListenFd::from_env();
+    if handed.len() == 0 {
+        return Ok(None);
+    }
+    let what = |error: std::io::Error| format!("PROXY_LISTEN_FD: not a listening TCP socket: {error}");
+    let listener = handed.take_tcp_listener(0).map_err(what)?.ok_or("PROXY_LISTEN_FD: no socket there")?;
+    listener.set_nonblocking(true).map_err(what)?;
+    Ok(Some(listener))
+}
+
+async fn run(handed: Option<std::net::TcpListener>) -> Result<(), String> {
     let of = |kind| signal(kind).map_err(|error| error.to_string());
     // Before all else: a signal that nobody listens for ends the program.
     let (mut asked, mut again) = (of(SignalKind::terminate())?, of(SignalKind::hangup())?);
@@ -21,12 +56,19 @@
     let stop = async move {
         asked.recv().await;
     };
-    merlinreel::run(station, discovery, stop).await.map_err(|error| error.to_string())
+    merlinreel::run(station, handed, discovery, stop).await.map_err(|error| error.to_string())
 }
 
 fn main() -> ExitCode {
+    let handed = match inherited() {
+        Ok(handed) => handed,
+        Err(what) => {
+            eprintln!("merlinreel: {what}");
+            return ExitCode::FAILURE;
+        }
+    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(|error| error.to_string()).and_then(|runtime| runtime.block_on(run())) {
+    match runtime.map_err(|error| error.to_string()).and_then(|runtime| runtime.block_on(run(handed))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("merlinreel: {what}");
--- /dev/null
+++ b/crates/merlinreel/src/ops.rs
@@ -0,0 +1,104 @@
+//! The operators' door: HTTP/1.1, one call to a connection. `GET /healthcheck` says whether this process can
+//! serve (200, or 503 once it stops); `GET /stats` gives the figures. Another path is 404, another method 405.
+//! Each connection is its own task and must bring a whole call within `Limits::ops_call`, so that a caller who
+//! stalls delays nobody; at most `Limits::ops_connections` are open, and a newcomer beyond that ends the oldest.
+
+use crate::decode::respond;
+use crate::limits::Limits;
+use crate::log;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// What the door tells: whether the process serves, and the figures as text.
+pub trait Telling: Send + Sync + 'static {
+    fn serves(&self) -> bool;
+    fn stats(&self) -> String;
+}
+
+/// Answers one call.
+pub fn answer(method: &Method, path: &str, telling: &dyn Telling) -> Response<Full<Bytes>> {
+    match (path, method == Method::GET) {
+        ("/healthcheck" | "/stats", false) => {
+            respond(StatusCode::METHOD_NOT_ALLOWED, "GET only\n".to_owned())
+        }
+        ("/healthcheck", true) if telling.serves() => respond(StatusCode::OK, "yes\n".to_owned()),
+        ("/healthcheck", true) => respond(StatusCode::SERVICE_UNAVAILABLE, "no\n".to_owned()),
+        ("/stats", true) => respond(StatusCode::OK, telling.stats()),
+        _ => respond(StatusCode::NOT_FOUND, "not here: /healthcheck, /stats\n".to_owned()),
+    }
+}
+
+/// Serves the door until the task is dropped.
+pub async fn attend(listener: TcpListener, limits: Limits, telling: Arc<dyn Telling>) {
+    let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log!("ops: {error}");
+                // Guards against a loop that spins while descriptors are out.
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        open.retain(|task| !task.is_finished());
+        // Guards against callers who hold connections and never call: the oldest gives way to who comes.
+        while open.len() >= limits.ops_connections {
+            open.pop_front().into_iter().for_each(|task| task.abort());
+        }
+        let telling = telling.clone();
+        let call = limits.ops_call;
+        open.push_back(tokio::spawn(async move {
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let telling = telling.clone();
+                async move { Ok::<_, Infallible>(answer(request.method(), request.uri().path(), &*telling)) }
+            });
+            let connection = Builder::new()
+                .keep_alive(false)
+                .timer(TokioTimer::new())
+                .header_read_timeout(call)
+                .serve_connection(TokioIo::new(stream), service);
+            // A call whose body never ends is cut off, too.
+            let _ = timeout(call * 2, connection).await;
+        }));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    struct Told(bool);
+
+    impl Telling for Told {
+        fn serves(&self) -> bool {
+            self.0
+        }
+        fn stats(&self) -> String {
+            "limiter.in_flight:0|g\n".to_owned()
+        }
+    }
+
+    #[test_case("GET", "/healthcheck", true, 200 ; "serves")]
+    #[test_case("GET", "/healthcheck", false, 503 ; "stops")]
+    #[test_case("GET", "/stats", false, 200 ; "figures")]
+    #[test_case("POST", "/stats", true, 405 ; "another method")]
+    #[test_case("GET", "/up", true, 404 ; "another path")]
+    fn each_call_has_its_answer(method: &str, path: &str, serves: bool, status: u16) {
+        let method = Method::from_bytes(method.as_bytes()).expect("a method");
+        assert_eq!(answer(&method, path, &Told(serves)).status().as_u16(), status);
+    }
+}
--- a/crates/merlinreel/src/peers.rs
+++ b/crates/merlinreel/src/peers.rs
@@ -17,8 +17,19 @@
 }
 
 impl Post {
-    pub async fn open(at: SocketAddr, peers: &[SocketAddr]) -> io::Result<Post> {
-        Ok(Post { socket: Arc::new(UdpSocket::bind(at).await?), peers: peers.into() })
+    /// Where the process that follows is to share the address (`beside`), both bind it with `SO_REUSEPORT`; guards
+    /// against an upgrade that ends at start as the one before holds the port. Elsewhere a second holder is an error.
+    pub async fn open(at: SocketAddr, peers: &[SocketAddr], beside: bool) -> io::Result<Post> {
+        let socket = if beside {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::DGRAM, None)?;
+            socket.set_reuse_port(true)?;
+            socket.set_nonblocking(true)?;
+            socket.bind(&at.into())?;
+            UdpSocket::from_std(socket.into())?
+        } else {
+            UdpSocket::bind(at).await?
+        };
+        Ok(Post { socket: Arc::new(socket), peers: peers.into() })
     }
 
     /// A letter that can't leave at once is lost, as any may be.
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -396,3 +396,39 @@
     let (status, text) = Program::complaint(&config);
     assert!(!status.success() && text.contains("limits.sockets: invalid type"), "{text}");
 }
+
+/// Guards the upgrade: the next process starts beside the one before on the socket that the platform holds,
+/// shares the letters' port, and the one before leaves on SIGTERM with what it holds answered and nothing refused.
+#[test]
+fn an_upgrade_hands_the_socket_over_and_loses_nothing() {
+    let (release, released) = channel::<()>();
+    let released = std::sync::Mutex::new(released);
+    let server = StandIn::start(move |message| {
+        if message.first.starts_with("POST") {
+            let _ = released.lock().expect("whole").recv();
+        }
+        fine()
+    });
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut config = config(&[listed("s-1", server.address, "up")]);
+    let letters = free_address();
+    config["listen"] = listener.local_addr().expect("bound").to_string().into();
+    config["peer_listen"] = letters.to_string().into();
+    config["peers"] = serde_json::json!([letters.to_string()]);
+    config["ops"] = free_address().to_string().into();
+    let mut before = Program::start_handed(&config, &listener);
+    let mut slow = before.client();
+    slow.send(&job("pay", 1, 1, "3000m"));
+    server.next();
+    config["ops"] = free_address().to_string().into();
+    let after = Program::start_handed(&config, &listener);
+    before.signal("-TERM");
+    // Whoever takes them, every new connection is served.
+    for customer in 2..8 {
+        assert_eq!(after.client().job("look", customer, 1).status(), 200);
+    }
+    release.send(()).expect("the server waits");
+    assert_eq!(slow.receive().map(|answer| answer.status()), Some(200));
+    assert!(before.end().success());
+    assert_eq!(after.client().job("look", 9, 1).status(), 200);
+}
--- a/crates/merlinreel/tests/support/mod.rs
+++ b/crates/merlinreel/tests/support/mod.rs
@@ -173,11 +173,22 @@
 
 impl Program {
     fn spawn(config: &Value) -> (Child, PathBuf) {
+        Program::spawn_handed(config, None)
+    }
+
+    /// With `handed`, the clients' socket is the child's descriptor 7, named in `PROXY_LISTEN_FD`.
+    fn spawn_handed(config: &Value, handed: Option<&TcpListener>) -> (Child, PathBuf) {
         let port = config["listen"].as_str().unwrap_or("none").replace([':', '.'], "-");
         let path = std::env::temp_dir().join(format!("merlinreel-{}-{port}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).expect("a file for the configuration");
         let mut command = Command::new(env!("CARGO_BIN_EXE_merlinreel"));
         command.env_clear().env("PROXY_CONFIG", &path).stderr(Stdio::piped()).stdout(Stdio::null());
+        if let Some(listener) = handed {
+            use command_fds::{CommandFdExt, FdMapping};
+            let parent_fd = listener.try_clone().expect("a second descriptor").into();
+            command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 7 }]).expect("descriptor 7");
+            command.env("PROXY_LISTEN_FD", "7");
+        }
         (command.spawn().expect("the program"), path)
     }
 
@@ -200,6 +211,27 @@
         panic!("the program never was ready");
     }
 
+    /// Starts it on a socket handed down, with the operators' door at `config["ops"]`, and waits until the door
+    /// says yes.
+    pub fn start_handed(config: &Value, listener: &TcpListener) -> Program {
+        let address = listener.local_addr().expect("bound");
+        let ops = config["ops"].as_str().and_then(|text| text.parse().ok()).expect("a door");
+        let (child, file) = Program::spawn_handed(config, Some(listener));
+        let program = Program { child, file, address };
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if let Ok(mut caller) = Client::connect(ops)
+                && caller
+                    .call("GET /healthcheck HTTP/1.1\r\nHost: ops\r\n\r\n")
+                    .is_some_and(|answer| answer.status() == 200)
+            {
+                return program;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the program never said yes");
+    }
+
     /// Runs it to its end, for what it says there.
     pub fn complaint(config: &Value) -> (ExitStatus, String) {
         let output = Program::spawn(config).0.wait_with_output().expect("an end");
