Long answers flow to the client as they come, its connection busy until the body ends

Change: a 200 that may exceed 64 KiB goes on at its head (flow.rs), its server's connection kept and read until the body ends, then closed; the client's connection stays busy and in hand meanwhile; 1 GiB at most.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -3,11 +3,12 @@
 use crate::claims::Claims;
 use crate::decode::{TXN, decode, encode, last, respond};
 use crate::driver::{Arrival, News, Parcel, Queue};
+use crate::flow::Reply;
 use crate::limits::Limits;
 use crate::log;
 use crate::servers::strip_hop_by_hop;
 use crate::stream::{Tallied, Tally};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -160,6 +161,30 @@
     }
 }
 
+/// Keeps a client's connection busy, and its answer in hand, while a long answer flows on it. Guards the answer
+/// against a connection that looks idle once its request is answered at the head, and is closed under the body,
+/// and against a stop that ends the process with nothing else in hand.
+struct Flowing {
+    door: Arc<Door>,
+    guest: Arc<Guest>,
+}
+
+impl Flowing {
+    fn new(door: Arc<Door>, guest: Arc<Guest>) -> Flowing {
+        guest.busy.store(true, Ordering::Relaxed);
+        door.in_hand.fetch_add(1, Ordering::Relaxed);
+        Flowing { door, guest }
+    }
+}
+
+impl Drop for Flowing {
+    fn drop(&mut self) {
+        self.door.in_hand.fetch_sub(1, Ordering::Relaxed);
+        *lock(&self.guest.times) = Times { idle: Instant::now(), heard: None };
+        self.guest.busy.store(false, Ordering::Relaxed);
+    }
+}
+
 /// What all clients' connections share.
 pub struct Door {
     limits: Limits,
@@ -307,7 +332,13 @@
         let _ = stream.set_nodelay(true);
         let service = service_fn(|request| {
             let (door, guest) = (self.clone(), guest.clone());
-            async move { Ok::<_, Infallible>(door.request(request, &guest).await) }
+            async move {
+                let mut answer = door.request(request, &guest).await;
+                if let Either::Right(flow) = answer.body_mut() {
+                    flow.hold(Box::new(Flowing::new(door.clone(), guest.clone())));
+                }
+                Ok::<_, Infallible>(answer)
+            }
         });
         let connection = Builder::new()
             .header_read_timeout(None)
@@ -355,25 +386,26 @@
         }
     }
 
-    async fn request(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+    async fn request(&self, request: Request<Incoming>, guest: &Guest) -> Response<Reply> {
         // The client's time runs from its sending: this is the earliest that is known of it here.
         let sent = Instant::now();
         if request.uri().path() == "/up" {
             let ready = !self.stopping.load(Ordering::Relaxed);
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return respond(status, String::new());
+            return respond(status, String::new()).map(Either::Left);
         }
         // The whole request must be there by then, whatever time the client claims to have.
         let due = guest.due(&self.limits).min(sent + self.limits.client_whole);
         guest.read(0);
         let (job, parcel) = match self.read(request, sent, due).await {
             Ok(whole) => whole,
-            Err(answer) => return last(answer),
+            Err(answer) => return last(answer).map(Either::Left),
         };
         let hand = Hand::take(self, guest);
         // The places beyond are kept to say so to whoever comes, at once.
         if hand.number >= self.limits.clients {
-            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()));
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()))
+                .map(Either::Left);
         }
         self.job(job, parcel, sent + job.time_left, guest).await
     }
@@ -422,20 +454,20 @@
         Ok((job, Parcel { method: head.method, uri, headers: head.headers, body, claim }))
     }
 
-    async fn job(&self, job: Job, parcel: Parcel, until: Instant, guest: &Guest) -> Response<Full<Bytes>> {
+    async fn job(&self, job: Job, parcel: Parcel, until: Instant, guest: &Guest) -> Response<Reply> {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (answer, answered) = oneshot::channel();
         let arrival = Arrival { ticket, job, until, parcel, answer };
         let mut attending = Attending { guest, ticket: Some(ticket) };
         if self.queue.send(News::Arrival(Box::new(arrival))).await.is_err() {
-            return last(respond(StatusCode::SERVICE_UNAVAILABLE, String::new()));
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, String::new())).map(Either::Left);
         }
         let answer = answered.await;
         attending.ticket = None;
         match answer {
             Ok(answer) => encode(answer),
             // The driver has ended; nothing is known of the job.
-            Err(_) => last(respond(StatusCode::BAD_GATEWAY, String::new())),
+            Err(_) => last(respond(StatusCode::BAD_GATEWAY, String::new())).map(Either::Left),
         }
     }
 }
--- a/crates/merlinreel/src/decode.rs
+++ b/crates/merlinreel/src/decode.rs
@@ -1,7 +1,8 @@
 //! What a client sent as a job, and an answer as the client gets it.
 
 use crate::driver::Answer;
-use http_body_util::Full;
+use crate::flow::Reply;
+use http_body_util::{Either, Full};
 use hyper::body::Bytes;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
@@ -142,12 +143,16 @@
 }
 
 /// An answer as the client gets it.
-pub fn encode(answer: Answer) -> Response<Full<Bytes>> {
-    match answer {
+pub fn encode(answer: Answer) -> Response<Reply> {
+    let answer = match answer {
         Answer::Fulfilled(delivery) => {
-            let mut response = Response::new(Full::new(delivery.body));
+            let body = match delivery.flow {
+                Some(flow) => Either::Right(*flow),
+                None => Either::Left(Full::new(delivery.body)),
+            };
+            let mut response = Response::new(body);
             *response.headers_mut() = delivery.headers;
-            response
+            return response;
         }
         Answer::Deferred(wait) => {
             let mut response = respond(StatusCode::TOO_MANY_REQUESTS, String::new());
@@ -157,7 +162,8 @@
             response
         }
         Answer::Scrapped => respond(StatusCode::BAD_GATEWAY, "scrapped\n".to_owned()),
-    }
+    };
+    answer.map(Either::Left)
 }
 
 #[cfg(test)]
--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -52,6 +52,8 @@
 pub struct Delivery {
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// A long body that goes on as it comes, in `body`'s place.
+    pub flow: Option<Box<crate::flow::Flow>>,
 }
 
 #[derive(Debug)]
--- /dev/null
+++ b/crates/merlinreel/src/flow.rs
@@ -0,0 +1,77 @@
+//! A server's long answer on its way to the client: the server's body itself, pulled by the client's
+//! connection, so that at most the two connections' buffers are in memory whatever its length. The server's
+//! connection is told when it has ended whole (`true`), broke off or was dropped (`false`).
+
+use http_body_util::{Either, Full};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use tokio::sync::oneshot;
+
+/// What a client's answer carries: a body in hand, or one that flows.
+pub type Reply = Either<Full<Bytes>, Flow>;
+
+pub struct Flow {
+    body: Incoming,
+    end: Option<oneshot::Sender<bool>>,
+    /// What the client's side holds while the body flows, let go of at its end.
+    held: Option<Box<dyn Send + Sync>>,
+}
+
+impl std::fmt::Debug for Flow {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        out.debug_struct("Flow").field("body", &self.body).finish_non_exhaustive()
+    }
+}
+
+impl Flow {
+    /// The body, and where its end is told.
+    pub fn new(body: Incoming) -> (Flow, oneshot::Receiver<bool>) {
+        let (end, ended) = oneshot::channel();
+        (Flow { body, end: Some(end), held: None }, ended)
+    }
+
+    /// Keeps `held` until the body has ended or is dropped.
+    pub fn hold(&mut self, held: Box<dyn Send + Sync>) {
+        self.held = Some(held);
+    }
+
+    fn tell(&mut self, whole: bool) {
+        self.end.take().map(|end| end.send(whole));
+        self.held = None;
+    }
+}
+
+impl Body for Flow {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        turn: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(turn));
+        match &frame {
+            None => self.tell(true),
+            // Guards the client against taking a part for the whole: the error ends its answer short.
+            Some(Err(_)) => self.tell(false),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Flow {
+    fn drop(&mut self) {
+        // A client that left, or an answer that the driver did not pass on.
+        self.tell(false);
+    }
+}
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod decode;
 pub mod driver;
+pub mod flow;
 pub mod limits;
 pub mod log;
 pub mod ops;
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -24,6 +24,8 @@
     pub answer: usize,
     pub answers: usize,
     pub head: usize,
+    /// Bytes of a long answer that goes on as it comes: beyond, it is not made for a job.
+    pub flowing: u64,
     /// Bytes of a roster's answer.
     pub roster: usize,
     /// A connection to a server must be up within this.
@@ -110,6 +112,8 @@
             answers: answers * 1024,
             // As much as servers usually take.
             head: 8 * 1024,
+            // Answers of these days reach 32 MB; far more is a server's fault, and would hold a client for hours.
+            flowing: 1 << 30,
             roster: 4 * 1024 * 1024,
             connect: if connect.is_zero() { Duration::from_millis(250) } else { connect },
             // What is written to a connection that the server just closed is lost: far from that moment.
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -3,6 +3,7 @@
 
 use crate::answers::Room;
 use crate::driver::{Delivery, News, Parcel, Queue, TripNews};
+use crate::flow::Flow;
 use crate::limits::Limits;
 use crate::log;
 use crate::roster::RosterNews;
@@ -14,7 +15,7 @@
     CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use merlinreel_core::{Ending, Load, ProbeAnswer, Roster, RosterEntry, Standing};
 use std::collections::HashMap;
@@ -390,8 +391,8 @@
         || !pieces && length.exact().is_none()
 }
 
-fn decode(answer: Response<Bytes>, loads: bool) -> Said {
-    let (mut head, body) = answer.into_parts();
+/// A whole `body`, or a `flow` in its place.
+fn decode(mut head: Parts, body: Bytes, flow: Option<Box<Flow>>, loads: bool) -> Said {
     let turned_away = head.headers.get(TURNED_AWAY).is_some_and(|value| value == "1");
     let ending = match head.status {
         StatusCode::OK => Ending::Fulfilled,
@@ -405,13 +406,16 @@
     let load = load.map_or_else(Load::default, |value| read_load(value.as_bytes()));
     let delivery = (ending == Ending::Fulfilled).then(|| {
         strip_hop_by_hop(&mut head.headers);
-        Delivery { headers: head.headers, body }
+        Delivery { headers: head.headers, body, flow }
     });
     Said { ending, units, load, delivery }
 }
 
 type Wire = Connection<TokioIo<Tallied<Sent>>, Full<Bytes>>;
 
+/// Told when an answer that flows has ended: whole, or not.
+type Ended = tokio::sync::oneshot::Receiver<bool>;
+
 /// A connection that is up.
 struct Up {
     sender: SendRequest<Full<Bytes>>,
@@ -452,7 +456,20 @@
             // Nothing of the job stays with a connection that rests.
             drop(errand);
             match said {
-                Ok(said) => self.report(serial, started, said, true).await,
+                Ok((said, None)) => self.report(serial, started, said, true).await,
+                Ok((said, Some(ended))) => {
+                    self.report(serial, started, said, false).await;
+                    // Guards the answer against a connection closed under it: kept and read until the client has
+                    // all of it or has gone, then closed, as one client may read for minutes.
+                    let mut ended = std::pin::pin!(ended);
+                    while !open.over {
+                        tokio::select! {
+                            _ = &mut ended => break,
+                            _ = open.connection.as_mut() => open.over = true,
+                        }
+                    }
+                    return;
+                }
                 Err(ending) => {
                     // Closed before anybody hears of it, and so before a next trip starts.
                     drop(open);
@@ -506,21 +523,30 @@
         Ok(Up { sender, connection: Box::pin(connection), sent, over: false })
     }
 
-    /// Makes the trip. On an error the connection must be closed.
-    async fn carry(&mut self, up: &mut Up, errand: &Errand) -> Result<Said, Ending> {
+    /// Makes the trip; where the answer flows, its end is told by what comes with it. On an error the connection
+    /// must be closed.
+    async fn carry(&mut self, up: &mut Up, errand: &Errand) -> Result<(Said, Option<Ended>), Ending> {
         let request = encode(&errand.parcel, errand.until.saturating_duration_since(Instant::now()));
         let whole = up.sent.bytes() + wire_length(&request, errand.parcel.body.len());
         let Up { sender, connection, sent, over } = up;
-        let (most, loads, room) = (self.limits.answer, self.loads, self.room.clone());
+        let (most, small, loads, room) =
+            (self.limits.answer, self.limits.body, self.loads, self.room.clone());
+        let flowing = usize::try_from(self.limits.flowing).unwrap_or(usize::MAX);
         let answer = async {
             sender.ready().await.ok()?;
             let (head, body) = sender.send_request(request).await.ok()?.into_parts();
+            // Guards long answers against being cut off or held back: a good one that may be longer than a
+            // connection's own room goes on at its head, as it comes.
+            let long = body.size_hint().upper().is_none_or(|length| length > small as u64);
+            if head.status == StatusCode::OK && long && !spoilt(&head, body.size_hint(), flowing) {
+                return Some((head, Err(body)));
+            }
             if spoilt(&head, body.size_hint(), most) {
                 return None;
             }
             // The whole of it, before the client is answered.
             let body = room.whole(body).await?;
-            Some(Response::from_parts(head, body))
+            Some((head, Ok(body)))
         };
         let limit = sleep_until(errand.until.into());
         tokio::pin!(answer, limit);
@@ -531,9 +557,13 @@
                 // First, as what it reads is the answer: that saves a turn.
                 _ = connection.as_mut(), if !*over => *over = true,
                 answer = &mut answer => match answer {
-                    Some(answer) => {
+                    Some((head, Ok(body))) => {
                         sent.resting.store(true, Ordering::Relaxed);
-                        return Ok(decode(answer, loads));
+                        return Ok((decode(head, body, None, loads), None));
+                    }
+                    Some((head, Err(body))) => {
+                        let (flow, ended) = Flow::new(body);
+                        return Ok((decode(head, Bytes::new(), Some(Box::new(flow)), loads), Some(ended)));
                     }
                     None => break Ending::Dropped,
                 },
--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -432,3 +432,32 @@
     assert!(before.end().success());
     assert_eq!(after.client().job("look", 9, 1).status(), 200);
 }
+
+/// Guards long answers: one larger than any that is read whole, from a server that pauses in the middle for
+/// longer than a connection may look idle, reaches the client whole.
+#[test]
+fn a_long_answer_that_pauses_goes_on_whole() {
+    use std::io::{BufRead, BufReader, Write};
+    const HALF: usize = 4 << 20;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a trip");
+        let mut head = BufReader::new(stream.try_clone().expect("a second handle"));
+        let mut line = String::new();
+        while head.read_line(&mut line).is_ok_and(|read| read > 2) {
+            line.clear();
+        }
+        let mut to = stream;
+        let _ = write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 2 * HALF);
+        let _ = to.write_all(&vec![b'a'; HALF]);
+        thread::sleep(Duration::from_millis(2500));
+        let _ = to.write_all(&vec![b'b'; HALF]);
+    });
+    let mut config = config(&[listed("s-1", address, "up")]);
+    config["limits"]["memory_mb"] = 40.into();
+    let program = Program::start(&config);
+    let answer = program.client().job("look", 1, 1);
+    assert_eq!((answer.status(), answer.body.len()), (200, 2 * HALF));
+    assert!(answer.body.ends_with('b'));
+}
