Figures on /stats, and classes read again at SIGHUP with open jobs keeping their rules

Change: figures.rs, atomic counts where each event happens (answers by status at the door, flowing ones at their end, trips written whole, servers seen by the module, reloads); Limiter::retune appends new or changed categories so open jobs keep theirs; the driver hands the door the new settings and class map; sendCap 0 or less turns a file down.

--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::decide::BUCKETS;
 use crate::letter::Row;
-use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules};
+use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules, Standing};
 use nanorand::WyRand;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -406,6 +406,33 @@
         dropped
     }
 
+    /// Servers listed and not gone, and of those the ones avoided now: draining, or resting after failures, as
+    /// the choice of a server reads them. For the operators' figures; decides nothing.
+    pub fn servers_seen(&self, now: Duration) -> (usize, usize) {
+        let known = self.servers.iter().flatten().filter(|server| server.entry.standing != Standing::Gone);
+        known.fold((0, 0), |(known, avoided), server| {
+            (known + 1, avoided + usize::from(!server.listed || now < server.benched_until))
+        })
+    }
+
+    /// Categories and job rules of settings read again. Categories only grow: one with the same rules keeps its
+    /// index, a new or changed one is appended, so that an open job keeps the rules it came under. Returns each
+    /// given category's index here, in their order.
+    pub fn retune(&mut self, categories: &[Category], job_rules: JobRules) -> Vec<usize> {
+        self.job_rules = job_rules;
+        let mut indices = Vec::with_capacity(categories.len());
+        for category in categories {
+            let same = self.categories.iter().rposition(|known| known == category);
+            indices.push(same.unwrap_or_else(|| {
+                // What was seen of the times left starts over, as for any category at start.
+                self.left_seen.push((vec![0.0; 130], 1.0));
+                self.categories.push(category.clone());
+                self.categories.len() - 1
+            }));
+        }
+        indices
+    }
+
     /// How many plans and categories there are; a job names one of each.
     pub fn sizes(&self) -> (usize, usize) {
         (self.plans.len(), self.categories.len())
--- a/crates/merlinreel-settings/src/lib.rs
+++ b/crates/merlinreel-settings/src/lib.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// A number over 0 where one is given. Guards against a file that allows no trips at all.
+    fn positive(&self, path: &str) -> Result<f64, String> {
+        let value = self.number(path)?;
+        if value <= 0.0 && self.text(path) != "-" {
+            return Err(format!("setting {path}: '{}' is not a positive number", self.text(path)));
+        }
+        Ok(value)
+    }
+
     fn time(&self, path: &str) -> Result<Duration, String> {
         let seconds = self.number(path)?;
         Duration::try_from_secs_f64(seconds).map_err(|_| format!("setting {path}: {seconds} is no time"))
@@ -149,7 +158,7 @@
                 probes: paths.flag("policyLimits.probes")?,
             },
             jobs: JobRules {
-                most_trips: paths.number("policyLimits.sendCap")?.max(1.0) as u32,
+                most_trips: paths.positive("policyLimits.sendCap")?.max(1.0) as u32,
                 second_copies: paths.flag("policyLimits.secondCopies")?,
                 may_revoke: paths.flag("policyLimits.mayCancel")?,
                 retry_after: paths.flag("policyLimits.retryAfter")?,
--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -2,8 +2,9 @@
 
 use crate::claims::Claims;
 use crate::decode::{TXN, decode, encode, last, respond};
-use crate::driver::{Arrival, News, Parcel, Queue};
-use crate::flow::Reply;
+use crate::driver::{Arrival, News, Parcel, Queue, Tuned};
+use crate::figures::{Figures, Outcome};
+use crate::flow::{Held, Reply};
 use crate::limits::Limits;
 use crate::log;
 use crate::servers::strip_hop_by_hop;
@@ -15,7 +16,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use merlinreel_core::Job;
-use merlinreel_settings::Terms;
+
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
@@ -23,7 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout, timeout_at};
 
 /// One client's connection.
@@ -167,13 +168,22 @@
 struct Flowing {
     door: Arc<Door>,
     guest: Arc<Guest>,
+    class: String,
 }
 
 impl Flowing {
-    fn new(door: Arc<Door>, guest: Arc<Guest>) -> Flowing {
+    fn new(door: Arc<Door>, guest: Arc<Guest>, class: String) -> Flowing {
         guest.busy.store(true, Ordering::Relaxed);
         door.in_hand.fetch_add(1, Ordering::Relaxed);
-        Flowing { door, guest }
+        Flowing { door, guest, class }
+    }
+}
+
+impl Held for Flowing {
+    /// An answer that the limiter began and could not complete has failed.
+    fn ended(self: Box<Self>, whole: bool) {
+        let outcome = if whole { Outcome::Served } else { Outcome::Failed };
+        self.door.figures.answered(&self.class, outcome);
     }
 }
 
@@ -188,21 +198,29 @@
 /// What all clients' connections share.
 pub struct Door {
     limits: Limits,
-    terms: Terms,
+    /// The settings in force, and each class's index in the module.
+    tuned: watch::Receiver<Arc<Tuned>>,
     queue: Queue,
     tickets: AtomicU64,
     stopping: AtomicBool,
     in_hand: AtomicUsize,
     claims: Claims,
     guests: Mutex<HashMap<u64, Arc<Guest>>>,
+    figures: Arc<Figures>,
 }
 
 impl Door {
-    pub fn new(limits: Limits, terms: Terms, queue: Queue) -> Arc<Door> {
+    pub fn new(
+        limits: Limits,
+        tuned: watch::Receiver<Arc<Tuned>>,
+        queue: Queue,
+        figures: Arc<Figures>,
+    ) -> Arc<Door> {
         Arc::new(Door {
+            figures,
             claims: Claims::new(&limits),
             limits,
-            terms,
+            tuned,
             queue,
             tickets: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -211,6 +229,11 @@
         })
     }
 
+    /// Jobs in hand: read whole and not answered, or flowing.
+    pub fn in_hand(&self) -> usize {
+        self.in_hand.load(Ordering::Relaxed)
+    }
+
     /// Whether jobs are taken: from the start to the stop.
     pub fn serves(&self) -> bool {
         !self.stopping.load(Ordering::Relaxed)
@@ -333,9 +356,17 @@
         let service = service_fn(|request| {
             let (door, guest) = (self.clone(), guest.clone());
             async move {
+                // The class is the first part of the path; figures count the classes in force only.
+                let class = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or("");
+                let (class, up) = (class.to_owned(), request.uri().path() == "/up");
                 let mut answer = door.request(request, &guest).await;
-                if let Either::Right(flow) = answer.body_mut() {
-                    flow.hold(Box::new(Flowing::new(door.clone(), guest.clone())));
+                let status = answer.status().as_u16();
+                match answer.body_mut() {
+                    Either::Right(flow) => {
+                        flow.hold(Box::new(Flowing::new(door.clone(), guest.clone(), class)))
+                    }
+                    Either::Left(_) if !up => door.figures.answered(&class, Outcome::of(status)),
+                    Either::Left(_) => {}
                 }
                 Ok::<_, Infallible>(answer)
             }
@@ -419,7 +450,11 @@
         due: Instant,
     ) -> Result<(Job, Parcel), Response<Full<Bytes>>> {
         let (mut head, body) = request.into_parts();
-        let job = decode(&head, &self.terms).map_err(|what| respond(StatusCode::BAD_REQUEST, what + "\n"))?;
+        // A job keeps the rules that were in force when it came, whatever is read later.
+        let tuned = self.tuned.borrow().clone();
+        let mut job =
+            decode(&head, &tuned.terms).map_err(|what| respond(StatusCode::BAD_REQUEST, what + "\n"))?;
+        job.category = tuned.indices[job.category];
         let mut room = None;
         let body = if body.is_end_stream() {
             Bytes::new()
@@ -475,7 +510,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use merlinreel_settings::Paths;
+    use merlinreel_settings::{Paths, Terms};
     use test_case::test_case;
 
     /// A connection with so many requests behind it, idle for so many seconds, perhaps with part of one there.
@@ -509,7 +544,9 @@
         let asked = guest(0, 1.0, None);
         asked.evicted.store(true, Ordering::Relaxed);
         asked.close.notify_one();
-        Door::new(limits(), terms(), queue).serve(TcpStream::from_std(stream)?, asked).await;
+        Door::new(limits(), watch::channel(Arc::new(Tuned::first(terms()))).1, queue, Figures::new(&[]))
+            .serve(TcpStream::from_std(stream)?, asked)
+            .await;
         let mut answer = String::new();
         client.read_to_string(&mut answer)?;
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -75,12 +75,15 @@
     parse(&text, variable).map_err(|what| format!("{path}: {what}"))
 }
 
-/// Reads the file again, for a limiter that runs. The address of discovery is taken over, all else holds until
-/// the next start; a faulty file is named and changes nothing.
-pub fn reread(present: &mut Station, variable: impl Fn(&str) -> Option<String>) {
+/// Reads the file again, for a limiter that runs. The address of discovery and the settings are taken over (of
+/// these the module takes classes and attempts), all else holds until the next start; a faulty file is named and changes nothing. Whether the file was taken.
+pub fn reread(present: &mut Station, variable: impl Fn(&str) -> Option<String>) -> bool {
     let new = match read(variable) {
         Ok(new) => new,
-        Err(what) => return log!("configuration, read again: {what}; the one before stands"),
+        Err(what) => {
+            log!("configuration, read again: {what}; the one before stands");
+            return false;
+        }
     };
     log!("configuration, read again: the roster is watched at {}", new.discovery);
     let kept = [
@@ -89,12 +92,18 @@
         ("peer_listen", new.peer_listen != present.peer_listen),
         ("peers", new.peers != present.peers),
         ("limits", new.limits != present.limits),
-        ("settings", new.terms != present.terms),
     ];
     for (key, _) in kept.iter().filter(|(_, changed)| *changed) {
         log!("configuration, read again: {key} is another, which holds from the next start on");
     }
+    if new.terms != present.terms {
+        log!(
+            "configuration, read again: settings taken over: classes and attempts now, the rest from the next start"
+        );
+    }
     present.discovery = new.discovery;
+    present.terms = new.terms;
+    true
 }
 
 /// Checks a configuration; a complaint begins with the key at fault.
@@ -235,6 +244,8 @@
     #[test_case(r#""peers":["127.0.0.1:1"]"#, r#""peers":[],"peer_listen":"127.0.0.1:1""#,
         "peers: 0 addresses, but setting balancers says 1" ; "peers amiss")]
     #[test_case("\"settings\"", "\"setting\"", "settings: is missing" ; "key misspelt")]
+    #[test_case("{\"peers\":true}", "{\"peers\":true,\"sendCap\":0}",
+        "setting policyLimits.sendCap: '0' is not a positive number" ; "no trips allowed")]
     fn a_faulty_key_is_named(from: &str, to: &str, begins: &str) {
         let complaint = complaint(from, to);
         assert!(complaint.contains(begins), "{complaint}");
--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -2,6 +2,7 @@
 //! one round, carries the decisions out in order, and sleeps until there is news or a wake is due.
 
 use crate::claims::Claim;
+use crate::figures::Figures;
 use crate::log;
 use crate::peers::Post;
 use crate::roster::RosterNews;
@@ -10,10 +11,12 @@
 use hyper::{HeaderMap, Method, Uri};
 use merlinreel_core::decide::Limiter;
 use merlinreel_core::*;
+use merlinreel_settings::Terms;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
 /// The shared clock: Unix time, read once and advanced by the monotonic clock, so that windows align over
@@ -98,6 +101,8 @@
     Probe(ProbeAnswer),
     Roster(RosterNews),
     Letter(Letter),
+    /// Settings read again, found sound.
+    Retune(Box<Terms>),
 }
 
 pub type Queue = mpsc::Sender<News>;
@@ -141,18 +146,42 @@
     now: Instant,
 }
 
+/// The settings in force at the door, and each of their classes' index in the module.
+#[derive(Debug)]
+pub struct Tuned {
+    pub terms: Terms,
+    pub indices: Vec<usize>,
+}
+
+impl Tuned {
+    pub fn first(terms: Terms) -> Tuned {
+        Tuned { indices: (0..terms.categories.len()).collect(), terms }
+    }
+}
+
 pub struct Driver {
     limiter: Limiter,
+    figures: Arc<Figures>,
+    /// Where the door learns of settings read again.
+    door: Option<watch::Sender<Arc<Tuned>>>,
     desk: Desk,
     most_jobs: usize,
     batch: usize,
 }
 
 impl Driver {
-    pub fn new(limiter: Limiter, servers: Servers, post: Option<Post>, clock: Clock) -> Driver {
+    pub fn new(
+        limiter: Limiter,
+        servers: Servers,
+        post: Option<Post>,
+        clock: Clock,
+        figures: Arc<Figures>,
+    ) -> Driver {
         let limits = servers.limits().clone();
         Driver {
             limiter,
+            figures,
+            door: None,
             most_jobs: limits.jobs,
             batch: limits.round,
             desk: Desk {
@@ -213,6 +242,7 @@
                     }
                 }
                 News::Trip(end) => round.trip_ends.extend(self.desk.end_trip(end)),
+                News::Retune(terms) => self.retune(*terms),
                 News::Probe(answer) => round.probes.push(answer),
                 News::Roster(roster) => round.roster.push(self.desk.servers.list(roster, false)),
                 News::Letter(letter) => round.letters.push(letter),
@@ -221,6 +251,22 @@
         self.round(round);
     }
 
+    /// The door is told of settings read again from now on.
+    pub fn tells(mut self, door: watch::Sender<Arc<Tuned>>) -> Driver {
+        self.door = Some(door);
+        self
+    }
+
+    /// Settings read again: the module first, so that the door never names a class that it does not know.
+    fn retune(&mut self, terms: Terms) {
+        let indices = self.limiter.retune(&terms.categories, terms.jobs);
+        self.figures.classes_now(&terms.wire.categories);
+        log!("settings read again: classes {} and their rules in force", terms.wire.categories.join(", "));
+        if let Some(door) = &self.door {
+            door.send_replace(Arc::new(Tuned { terms, indices }));
+        }
+    }
+
     fn round(&mut self, mut round: Round) {
         loop {
             let desk = &mut self.desk;
@@ -228,7 +274,11 @@
             if desk.wake_at.is_some_and(|at| at <= desk.now) {
                 desk.wake_at = None;
             }
-            self.limiter.round(desk.clock.at(desk.now), &round, desk);
+            let now = desk.clock.at(desk.now);
+            self.limiter.round(now, &round, desk);
+            let (known, excluded) = self.limiter.servers_seen(now);
+            self.figures.servers_known.store(known as u64, Ordering::Relaxed);
+            self.figures.servers_excluded.store(excluded as u64, Ordering::Relaxed);
             for job in std::mem::take(&mut desk.closed) {
                 desk.free_if_over(job);
             }
@@ -430,8 +480,9 @@
         let terms = paths.and_then(|paths| merlinreel_settings::Terms::read(&paths)).expect("sound");
         let limits = crate::limits::Limits::new(1024, 192, &terms).expect("room");
         let (queue, news) = mpsc::channel(16);
-        let servers = Servers::new(limits, &terms, queue.clone());
-        (Driver::new(terms.limiter(7), servers, None, Clock::start()), queue, news)
+        let figures = Figures::new(&[]);
+        let servers = Servers::new(limits, &terms, queue.clone(), figures.clone());
+        (Driver::new(terms.limiter(7), servers, None, Clock::start(), figures), queue, news)
     }
 
     fn arrival(ticket: u64) -> (News, oneshot::Receiver<Answer>) {
--- /dev/null
+++ b/crates/merlinreel/src/figures.rs
@@ -0,0 +1,155 @@
+//! The figures on the operators' door: plain atomic counters, counted where each event happens and read
+//! without the driver, so that a busy round never makes an answer late. Each process counts from 0.
+//!
+//! Shape of `/stats`, one figure a line, in statsd's form (`|c` a count since start, `|g` a present value):
+//!
+//! ```text
+//! limiter.requests.C.served:812|c      (also refused, failed, attempts; C a class of the settings in force)
+//! limiter.attempts:900|c               (trips written whole to servers)
+//! limiter.in_flight:14|g               (jobs in hand)
+//! limiter.servers_known:10|g           (servers listed and not gone)
+//! limiter.servers_excluded:1|g         (of those, draining or resting now)
+//! limiter.reloads_ok:2|c
+//! limiter.reloads_failed:1|c
+//! ```
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// What became of a job, as its client reads the answer's status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Served,
+    Refused,
+    Failed,
+}
+
+impl Outcome {
+    /// 200 is served; 429 and 503 are refused, whoever worded them; anything else failed.
+    pub fn of(status: u16) -> Outcome {
+        match status {
+            200 => Outcome::Served,
+            429 | 503 => Outcome::Refused,
+            _ => Outcome::Failed,
+        }
+    }
+}
+
+/// One class's counts: served, refused, failed, attempts.
+#[derive(Default)]
+struct Counts([AtomicU64; 4]);
+
+#[derive(Default)]
+pub struct Figures {
+    /// By class name, the classes of the settings in force and those of before, which keep their counts.
+    classes: Mutex<BTreeMap<String, Arc<Counts>>>,
+    /// Names of the classes in force; another name counts nothing.
+    current: Mutex<Vec<String>>,
+    attempts: AtomicU64,
+    pub in_flight: AtomicU64,
+    pub servers_known: AtomicU64,
+    pub servers_excluded: AtomicU64,
+    reloads_ok: AtomicU64,
+    reloads_failed: AtomicU64,
+}
+
+impl Figures {
+    pub fn new(classes: &[String]) -> Arc<Figures> {
+        let figures = Arc::new(Figures::default());
+        figures.classes_now(classes);
+        figures
+    }
+
+    /// The classes in force from now on.
+    pub fn classes_now(&self, names: &[String]) {
+        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        for name in names {
+            classes.entry(name.clone()).or_default();
+        }
+        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = names.to_vec();
+    }
+
+    fn counts(&self, class: &str) -> Option<Arc<Counts>> {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        if !current.iter().any(|name| name == class) {
+            return None;
+        }
+        self.classes.lock().unwrap_or_else(PoisonError::into_inner).get(class).cloned()
+    }
+
+    pub fn answered(&self, class: &str, outcome: Outcome) {
+        let place = match outcome {
+            Outcome::Served => 0,
+            Outcome::Refused => 1,
+            Outcome::Failed => 2,
+        };
+        self.counts(class).map(|counts| counts.0[place].fetch_add(1, Ordering::Relaxed));
+    }
+
+    /// A trip's last byte was written to its server.
+    pub fn attempted(&self, class: &str) {
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+        self.counts(class).map(|counts| counts.0[3].fetch_add(1, Ordering::Relaxed));
+    }
+
+    pub fn reloaded(&self, ok: bool) {
+        let count = if ok { &self.reloads_ok } else { &self.reloads_failed };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// All figures, one a line.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for (name, counts) in &classes {
+            for (what, count) in ["served", "refused", "failed", "attempts"].iter().zip(&counts.0) {
+                let _ = writeln!(text, "limiter.requests.{name}.{what}:{}|c", count.load(Ordering::Relaxed));
+            }
+        }
+        let figures = [
+            ("attempts", &self.attempts, "c"),
+            ("in_flight", &self.in_flight, "g"),
+            ("servers_known", &self.servers_known, "g"),
+            ("servers_excluded", &self.servers_excluded, "g"),
+            ("reloads_ok", &self.reloads_ok, "c"),
+            ("reloads_failed", &self.reloads_failed, "c"),
+        ];
+        for (name, figure, kind) in figures {
+            let _ = writeln!(text, "limiter.{name}:{}|{kind}", figure.load(Ordering::Relaxed));
+        }
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case(200 => Outcome::Served ; "served")]
+    #[test_case(429 => Outcome::Refused ; "deferred")]
+    #[test_case(503 => Outcome::Refused ; "busy")]
+    #[test_case(400 => Outcome::Failed ; "malformed")]
+    #[test_case(502 => Outcome::Failed ; "scrapped")]
+    fn a_status_is_read_as_its_client_reads_it(status: u16) -> Outcome {
+        Outcome::of(status)
+    }
+
+    #[test]
+    fn classes_dropped_keep_their_counts_and_strangers_count_nothing() {
+        let figures = Figures::new(&["look".to_owned()]);
+        figures.answered("look", Outcome::Served);
+        figures.answered("garbage", Outcome::Failed);
+        figures.classes_now(&["put".to_owned()]);
+        figures.answered("look", Outcome::Served);
+        figures.attempted("put");
+        let text = figures.text();
+        assert!(text.contains("limiter.requests.look.served:1|c\n"), "{text}");
+        assert!(
+            text.contains("limiter.requests.put.attempts:1|c\n") && text.contains("limiter.attempts:1|c\n")
+        );
+        assert!(!text.contains("garbage"), "{text}");
+    }
+}
--- a/crates/merlinreel/src/flow.rs
+++ b/crates/merlinreel/src/flow.rs
@@ -14,8 +14,13 @@
 pub struct Flow {
     body: Incoming,
     end: Option<oneshot::Sender<bool>>,
-    /// What the client's side holds while the body flows, let go of at its end.
-    held: Option<Box<dyn Send + Sync>>,
+    /// What the client's side holds while the body flows, told and let go of at its end.
+    held: Option<Box<dyn Held>>,
+}
+
+/// Held by a flow until its end, and told whether the body went on whole.
+pub trait Held: Send + Sync {
+    fn ended(self: Box<Self>, whole: bool);
 }
 
 impl std::fmt::Debug for Flow {
@@ -32,13 +37,13 @@
     }
 
     /// Keeps `held` until the body has ended or is dropped.
-    pub fn hold(&mut self, held: Box<dyn Send + Sync>) {
+    pub fn hold(&mut self, held: Box<dyn Held>) {
         self.held = Some(held);
     }
 
     fn tell(&mut self, whole: bool) {
         self.end.take().map(|end| end.send(whole));
-        self.held = None;
+        self.held.take().into_iter().for_each(|held| held.ended(whole));
     }
 }
 
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod decode;
 pub mod driver;
+pub mod figures;
 pub mod flow;
 pub mod limits;
 pub mod log;
@@ -39,6 +40,7 @@
 /// What the operators' door tells.
 struct Told {
     door: Arc<clients::Door>,
+    figures: Arc<figures::Figures>,
 }
 
 impl ops::Telling for Told {
@@ -46,7 +48,8 @@
         self.door.serves()
     }
     fn stats(&self) -> String {
-        String::new()
+        self.figures.in_flight.store(self.door.in_hand() as u64, std::sync::atomic::Ordering::Relaxed);
+        self.figures.text()
     }
 }
 
@@ -56,6 +59,8 @@
 pub async fn run(
     station: config::Station,
     handed: Option<std::net::TcpListener>,
+    figures: Arc<figures::Figures>,
+    mut tunes: watch::Receiver<merlinreel_settings::Terms>,
     discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
@@ -83,17 +88,32 @@
         None => TcpListener::bind(listen).await.map_err(|error| named("listen", listen, error))?,
     };
     let version = known.as_ref().map(|known| known.version);
-    let servers = servers::Servers::new(limits.clone(), &terms, queue.clone());
-    let driver = driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock);
+    let servers = servers::Servers::new(limits.clone(), &terms, queue.clone(), figures.clone());
+    let (tune, tuned) = watch::channel(Arc::new(driver::Tuned::first(terms.clone())));
+    let driver =
+        driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock, figures.clone()).tells(tune);
     let mut driving = tokio::spawn(driver.run(known, news));
     let mut others = vec![tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone()))];
     others.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
+    let retuning = queue.clone();
+    others.push(tokio::spawn(async move {
+        while tunes.changed().await.is_ok() {
+            let terms = tunes.borrow_and_update().clone();
+            if retuning.send(driver::News::Retune(Box::new(terms))).await.is_err() {
+                return;
+            }
+        }
+    }));
     let at = listener.local_addr().map_or_else(|_| listen.to_string(), |at| at.to_string());
     log!("{name} takes jobs at {at}{}", if inherited { ", on the socket handed down" } else { "" });
-    let door = clients::Door::new(limits.clone(), terms, queue);
+    let door = clients::Door::new(limits.clone(), tuned, queue, figures.clone());
     if let Some(at) = ops {
         let listener = TcpListener::bind(at).await.map_err(|error| named("ops", at, error))?;
-        others.push(tokio::spawn(ops::attend(listener, limits, Arc::new(Told { door: door.clone() }))));
+        others.push(tokio::spawn(ops::attend(
+            listener,
+            limits,
+            Arc::new(Told { door: door.clone(), figures }),
+        )));
     }
     let door = door.attend(listener, inherited, stop);
     let ended = attended(door, &mut driving).await;
--- a/crates/merlinreel/src/main.rs
+++ b/crates/merlinreel/src/main.rs
@@ -47,16 +47,27 @@
     let station = config::read(|name| std::env::var(name).ok())?;
     let (turn, discovery) = watch::channel(station.discovery);
     let mut present = station.clone();
+    let figures = merlinreel::figures::Figures::new(&station.terms.wire.categories);
+    let counted = figures.clone();
+    let (tune, tunes) = watch::channel(station.terms.clone());
     tokio::spawn(async move {
         while again.recv().await.is_some() {
-            config::reread(&mut present, |name| std::env::var(name).ok());
+            let taken = config::reread(&mut present, |name| std::env::var(name).ok());
+            counted.reloaded(taken);
             turn.send_replace(present.discovery);
+            tune.send_if_modified(|terms| {
+                let other = *terms != present.terms;
+                if other {
+                    *terms = present.terms.clone();
+                }
+                other
+            });
         }
     });
     let stop = async move {
         asked.recv().await;
     };
-    merlinreel::run(station, handed, discovery, stop).await.map_err(|error| error.to_string())
+    merlinreel::run(station, handed, figures, tunes, discovery, stop).await.map_err(|error| error.to_string())
 }
 
 fn main() -> ExitCode {
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -3,6 +3,7 @@
 
 use crate::answers::Room;
 use crate::driver::{Delivery, News, Parcel, Queue, TripNews};
+use crate::figures::Figures;
 use crate::flow::Flow;
 use crate::limits::Limits;
 use crate::log;
@@ -100,11 +101,18 @@
     free: Vec<u32>,
     slots: Arc<Semaphore>,
     queue: Queue,
+    figures: Arc<Figures>,
 }
 
 impl Servers {
-    pub fn new(limits: Limits, terms: &merlinreel_settings::Terms, queue: Queue) -> Servers {
+    pub fn new(
+        limits: Limits,
+        terms: &merlinreel_settings::Terms,
+        queue: Queue,
+        figures: Arc<Figures>,
+    ) -> Servers {
         Servers {
+            figures,
             zones: terms.wire.zones.clone(),
             loads_in_answers: terms.wire.loads_in_answers,
             room: Room::new(&limits),
@@ -211,6 +219,7 @@
             loads: self.loads_in_answers,
             room: self.room.clone(),
             queue: self.queue.clone(),
+            figures: self.figures.clone(),
         };
         tokio::spawn(carrier.run(errand, slot));
         Some(Link { orders, address })
@@ -433,6 +442,7 @@
     loads: bool,
     room: Room,
     queue: Queue,
+    figures: Arc<Figures>,
 }
 
 impl Carrier {
@@ -532,6 +542,12 @@
         let (most, small, loads, room) =
             (self.limits.answer, self.limits.body, self.loads, self.room.clone());
         let flowing = usize::try_from(self.limits.flowing).unwrap_or(usize::MAX);
+        // Counted once its last byte is written: the class is the first part of the path.
+        let attempted = {
+            let figures = self.figures.clone();
+            let path = errand.parcel.uri.path().trim_start_matches('/').to_owned();
+            move || figures.attempted(path.split('/').next().unwrap_or(""))
+        };
         let answer = async {
             sender.ready().await.ok()?;
             let (head, body) = sender.send_request(request).await.ok()?.into_parts();
@@ -558,10 +574,12 @@
                 _ = connection.as_mut(), if !*over => *over = true,
                 answer = &mut answer => match answer {
                     Some((head, Ok(body))) => {
+                        attempted();
                         sent.resting.store(true, Ordering::Relaxed);
                         return Ok((decode(head, body, None, loads), None));
                     }
                     Some((head, Err(body))) => {
+                        attempted();
                         let (flow, ended) = Flow::new(body);
                         return Ok((decode(head, Bytes::new(), Some(Box::new(flow)), loads), Some(ended)));
                     }
@@ -572,6 +590,9 @@
         };
         // Nothing is written any more: short of the last byte, no server can have run it.
         let never_ran = sent.bytes() < whole;
+        if !never_ran {
+            attempted();
+        }
         if ending == Ending::Dropped {
             let part = if never_ran { "before" } else { "after" };
             log!("server at {}: connection broke {part} a trip's last byte", self.address);
@@ -665,7 +686,7 @@
         let terms = paths.and_then(|paths| merlinreel_settings::Terms::read(&paths)).expect("sound");
         let limits = Limits { servers: slots, ..Limits::new(1024, 192, &terms).expect("room") };
         let (queue, news) = mpsc::channel(16);
-        let mut servers = Servers::new(limits, &terms, queue);
+        let mut servers = Servers::new(limits, &terms, queue, Figures::new(&[]));
         servers.list(list(address, Standing::Up), true);
         (servers, news)
     }
