--- a/crates/merlinreel/tests/sockets.rs
+++ b/crates/merlinreel/tests/sockets.rs
@@ -305,14 +305,7 @@
 
 #[test]
 fn a_stop_serves_on_and_finishes_what_is_in_hand() {
-    let (release, released) = channel::<()>();
-    let released = std::sync::Mutex::new(released);
-    let server = StandIn::start(move |message| {
-        if message.first.starts_with("POST") {
-            let _ = released.lock().expect("whole").recv();
-        }
-        fine()
-    });
+    let (server, release) = holding();
     let mut program = Program::start(&config(&[listed("s-1", server.address, "up")]));
     let mut slow = program.client();
     slow.send(&job("pay", 1, 1, "3000m"));
@@ -401,14 +394,7 @@
 /// shares the letters' port, and the one before leaves on SIGTERM with what it holds answered and nothing refused.
 #[test]
 fn an_upgrade_hands_the_socket_over_and_loses_nothing() {
-    let (release, released) = channel::<()>();
-    let released = std::sync::Mutex::new(released);
-    let server = StandIn::start(move |message| {
-        if message.first.starts_with("POST") {
-            let _ = released.lock().expect("whole").recv();
-        }
-        fine()
-    });
+    let (server, release) = holding();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let mut config = config(&[listed("s-1", server.address, "up")]);
     let letters = free_address();
--- a/crates/merlinreel/tests/support/mod.rs
+++ b/crates/merlinreel/tests/support/mod.rs
@@ -120,6 +120,19 @@
     Ok(())
 }
 
+/// A server that holds each POST until it is let go of, one a message sent; answers all else at once.
+pub fn holding() -> (StandIn, Sender<()>) {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let server = StandIn::start(move |message| {
+        if message.first.starts_with("POST") {
+            let _ = released.lock().expect("whole").recv();
+        }
+        fine()
+    });
+    (server, release)
+}
+
 /// A discovery that tells the texts it is given, one an answer, or breaks; each call waits for the next.
 pub fn discovery(texts: Receiver<String>) -> StandIn {
     let texts = Mutex::new(texts);
@@ -192,23 +205,25 @@
         (command.spawn().expect("the program"), path)
     }
 
-    /// Starts it and waits until it says that it is ready.
-    pub fn start(config: &Value) -> Program {
-        let address = config["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
-        let (child, file) = Program::spawn(config);
-        let program = Program { child, file, address };
+    /// Waits until `call` at `at` is answered 200.
+    fn ready(self, at: SocketAddr, call: &str) -> Program {
         let begun = Instant::now();
         while begun.elapsed() < PATIENCE {
-            if let Ok(mut client) = Client::connect(address)
-                && client
-                    .call("GET /up HTTP/1.1\r\nHost: svc\r\n\r\n")
-                    .is_some_and(|answer| answer.status() == 200)
+            if let Ok(mut client) = Client::connect(at)
+                && client.call(call).is_some_and(|answer| answer.status() == 200)
             {
-                return program;
+                return self;
             }
             thread::sleep(Duration::from_millis(10));
         }
-        panic!("the program never was ready");
+        panic!("the program never was ready at {at}");
+    }
+
+    /// Starts it and waits until it says that it is ready.
+    pub fn start(config: &Value) -> Program {
+        let address = config["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let (child, file) = Program::spawn(config);
+        Program { child, file, address }.ready(address, "GET /up HTTP/1.1\r\nHost: svc\r\n\r\n")
     }
 
     /// Starts it on a socket handed down, with the operators' door at `config["ops"]`, and waits until the door
@@ -217,19 +232,7 @@
         let address = listener.local_addr().expect("bound");
         let ops = config["ops"].as_str().and_then(|text| text.parse().ok()).expect("a door");
         let (child, file) = Program::spawn_handed(config, Some(listener));
-        let program = Program { child, file, address };
-        let begun = Instant::now();
-        while begun.elapsed() < PATIENCE {
-            if let Ok(mut caller) = Client::connect(ops)
-                && caller
-                    .call("GET /healthcheck HTTP/1.1\r\nHost: ops\r\n\r\n")
-                    .is_some_and(|answer| answer.status() == 200)
-            {
-                return program;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        panic!("the program never said yes");
+        Program { child, file, address }.ready(ops, "GET /healthcheck HTTP/1.1\r\nHost: ops\r\n\r\n")
     }
 
     /// Runs it to its end, for what it says there.
