The door names its 413, 408 and unfinished requests in the log; where slow ones end

Change: log lines for a body over 64 KiB (413), one not whole in time (408), and a connection closed with part of a request.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -389,6 +389,9 @@
                 // against one that never sent anything: asked to close, it would stay.
                 () = &mut turn, if leaving => {
                     if guest.rests(&self.limits) {
+                        if lock(&guest.times).heard.is_some() {
+                            log!("clients: part of a request, not whole in time: the connection is closed");
+                        }
                         return;
                     }
                     leaving = false;
@@ -461,6 +464,7 @@
         } else {
             let (most, length) = (self.limits.body, body.size_hint().lower());
             if length > most as u64 {
+                log!("clients: a body of {length} bytes is longer than {most}: 413");
                 return Err(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
             }
             // Guards the memory against many large bodies at once.
@@ -473,7 +477,10 @@
             match timeout_at(due.into(), Limited::new(body, most).collect()).await {
                 Ok(Ok(body)) => body.to_bytes(),
                 Ok(Err(error)) => return Err(respond(StatusCode::BAD_REQUEST, format!("{error}\n"))),
-                Err(_) => return Err(respond(StatusCode::REQUEST_TIMEOUT, String::new())),
+                Err(_) => {
+                    log!("clients: a body of {length} bytes was not whole in time: 408");
+                    return Err(respond(StatusCode::REQUEST_TIMEOUT, String::new()));
+                }
             }
         };
         let id = head.headers.get(TXN).and_then(|id| self.claims.open(id, room));
