--- a/crates/merlinreel-benchlink/src/host.rs
+++ b/crates/merlinreel-benchlink/src/host.rs
@@ -590,7 +590,8 @@
         Some(at) if at > 0.0 => Duration::try_from_secs_f64(at).ok(),
         _ => None,
     };
-    Ok(Line { name, entry: RosterEntry { server: 0, zone, cell, standing, weight, up_since } })
+    let entry = RosterEntry { server: 0, mark: mark(&name), zone, cell, standing, weight, up_since };
+    Ok(Line { name, entry })
 }
 
 #[cfg(test)]
--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -347,6 +347,7 @@
                 out.follow_roster(true);
             }
             self.watch(now, out);
+            self.keep_regulars(now);
             self.gauge(now);
             self.forget(now, out);
         }
@@ -682,10 +683,31 @@
         }
     }
 
+    /// Departure where limiters are many: each sends to a steady part of the servers, the next on the ring of
+    /// their marks from a point of its own, which lie evenly; struck and cold ones count for what they bear.
+    /// Guards against a connection a trip, and against views too thin to tell a good server from a bad one.
+    fn keep_regulars(&mut self, now: Duration) {
+        let rules = self.server_rules;
+        let bears = |s: &Server| if now >= s.benched_until { s.warmth(now, &rules) } else { 0.0 };
+        let mut ring: Vec<&mut Server> = self.servers.iter_mut().flatten().filter(|s| s.listed).collect();
+        ring.sort_by_key(|server| server.entry.mark);
+        // Ten limiters at each even out that some get several times the mean; six leave a choice in each zone.
+        let most = (10.0 * ring.len() as f64 / f64::from(self.peers.limiters)).max(6.0);
+        let all: f64 = ring.iter().map(|server| bears(server)).sum();
+        let start = ((f64::from(self.peers.me) * 0.618).fract() * ring.len() as f64) as usize;
+        let mut kept = 0.0;
+        ring.rotate_left(start);
+        for server in ring {
+            server.aside = kept >= most;
+            kept += if server.aside { 0.0 } else { bears(server) };
+        }
+        self.reach = if kept > 0.0 { (all / kept).max(1.0) } else { 1.0 };
+    }
+
     /// What a warm server was sent of late. While none is warm what was seen last holds, and a cold one gets a trip:
     /// guards against a fleet taken for cold at a stroke, which would idle.
     fn gauge(&mut self, now: Duration) {
-        let warm = |s: &&mut Server| s.listed && s.cold_since.is_none() && now >= s.benched_until;
+        let warm = |s: &&mut Server| s.listed && !s.aside && s.cold_since.is_none() && now >= s.benched_until;
         let sends = self.servers.iter_mut().flatten().filter(warm).map(|server| server.sends.sum(now));
         let (count, sum) = sends.fold((0.0, 0.0), |(count, sum), sends| (count + 1.0, sum + sends));
         let least = 1.0 / self.server_rules.start_share.max(0.05);
@@ -713,7 +735,9 @@
         for (i, server) in self.servers.iter_mut().enumerate() {
             let Some(server) = server else { continue };
             let has_one = open.trips.iter().any(|trip| trip.out && trip.server == i as u32);
-            if has_one || !server.listed || now < server.benched_until {
+            // What may have run goes anywhere in its group, which may hold none of the regular ones.
+            let aside = server.aside && origin.is_none();
+            if has_one || aside || !server.listed || now < server.benched_until {
                 continue;
             }
             if let (Some(origin), Repeats::Referenced(group, _)) = (origin, category.repeats)
@@ -728,7 +752,9 @@
                 server.cold_since = None;
             }
             let trial = server.strikes > 0 || server.fails(self.erring);
-            let credits = if trial { server.credits.min(1.0) } else { server.credits * self.level } * warmth;
+            let credits =
+                if trial { server.credits.min(1.0) } else { server.credits * self.level * self.reach }
+                    * warmth;
             // A part of a credit is a whole one for part of the time, by turns among the limiters: not all
             // send to one server at once. Half a second outlasts most trips, the golden ratio is even.
             let turn = i as f64 * 0.618 + secs(now).div_euclid(0.5) * 0.382;
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -439,6 +439,27 @@
     assert_eq!(notes.lines.len(), calls);
 }
 
+/// How many of the limiters send to each of the servers as a rule: the fewest and the most. Guards against servers
+/// that nobody meets, and against a connection from each of many limiters.
+#[test_case(4, 14, false => (4, 4) ; "all where limiters are few")]
+#[test_case(100, 60, false => (9, 11) ; "ten of a hundred")]
+#[test_case(300, 200, false => (9, 12) ; "ten of three hundred")]
+#[test_case(100, 60, true => (11, 29) ; "more where half of the servers are cold")]
+fn limiters_at_a_server(limiters: u32, servers: u32, cold: bool) -> (usize, usize) {
+    let mut at_server = vec![0; servers as usize];
+    for me in 0..limiters {
+        let mut limiter = limiter(Repeats::Replayable, Peers { limiters, me, ..peers() });
+        limiter.servers =
+            (0..servers).map(|i| Some(Server::new(entry(i), &server_rules(), limiters))).collect();
+        let starts = limiter.servers.iter_mut().step_by(2).flatten().filter(|_| cold);
+        starts.for_each(|server| server.cold_since = Some(at(1.0)));
+        limiter.keep_regulars(at(1.0));
+        let regulars = limiter.servers.iter().flatten().filter(|server| !server.aside);
+        regulars.for_each(|server| at_server[server.entry.server as usize] += 1);
+    }
+    (at_server.iter().copied().min().unwrap_or(0), at_server.iter().copied().max().unwrap_or(0))
+}
+
 #[test]
 fn a_start_told_by_the_roster_makes_a_server_cold() {
     let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
--- a/crates/merlinreel-core/src/decide/tests/helpers.rs
+++ b/crates/merlinreel-core/src/decide/tests/helpers.rs
@@ -104,7 +104,9 @@
 }
 
 pub fn entry(server: u32) -> RosterEntry {
-    RosterEntry { server, zone: server % 2, cell: 0, standing: Standing::Up, weight: 1.0, up_since: None }
+    let entry =
+        RosterEntry { server, mark: mark(&server.to_string()), weight: 1.0, ..RosterEntry::default() };
+    RosterEntry { zone: server % 2, ..entry }
 }
 
 /// Servers 0 and 1 in zones 0 and 1, up and warm, two credits each.
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -1,6 +1,7 @@
 //! The interface of the decision module: plain data that goes in, and the
 //! writer through which decisions come out. The module itself is `decide`.
 
+use std::hash::Hasher;
 use std::time::Duration;
 
 pub mod decide;
@@ -116,6 +117,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RosterEntry {
     pub server: u32,
+    /// The same at every limiter, and evenly spread over servers (see `mark`).
+    pub mark: u64,
     pub zone: u32,
     pub cell: u32,
     pub standing: Standing,
@@ -124,6 +127,14 @@
     pub up_since: Option<Duration>,
 }
 
+/// A server's mark, from the name that all limiters know it by: the names' FNV hash, mixed so that all bits count.
+pub fn mark(name: &str) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(name.as_bytes());
+    let hash = hasher.finish();
+    (hash ^ hash >> 32).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 /// One piece of news of the roster.
 #[derive(Clone, Debug)]
 pub struct Roster {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -132,6 +132,8 @@
 pub struct Server {
     pub entry: RosterEntry,
     pub listed: bool,
+    /// Not among those that this limiter sends to as a rule.
+    pub aside: bool,
     /// Most trips that this limiter has out there, and how many are.
     pub credits: f64,
     pub out: u32,
@@ -219,6 +221,8 @@
     /// How long answers of all servers take against what is long, and the level over the credits it gives.
     pub(crate) strain: f64,
     pub(crate) level: f64,
+    /// Credits of all servers over those of the regular ones.
+    pub(crate) reach: f64,
     /// Trips that a warm server got lately.
     pub(crate) warm_sends: f64,
     /// Servers had credit to spare at the last choice.
@@ -345,6 +349,7 @@
             strain: 0.0,
             level: 0.0,
             losing: 0.0,
+            reach: 1.0,
             warm_sends: 0.0,
             idle: false,
             accounts: Vec::new(),
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -18,7 +18,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use merlinreel_core::{Ending, Load, ProbeAnswer, Roster, RosterEntry, Standing};
+use merlinreel_core::{Ending, Load, ProbeAnswer, Roster, RosterEntry, Standing, mark};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -145,6 +145,7 @@
             });
             let mut entry = RosterEntry {
                 server: 0,
+                mark: mark(&listed.name),
                 zone: zone as u32,
                 cell: listed.cell,
                 standing: listed.standing,
