--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -206,12 +206,19 @@
     job.is_multiple_of(4)
 }
 
-/// The level over all credits, from what all servers' answers take against what is long: with many limiters
-/// each hears too seldom from one server. Guards against limiters that die or lose their traffic and leave
-/// their parts unused. Some hundred answers double it; four times is what traffic of one hall needs.
-fn next_level(level: f64, strain: f64, pressed: bool) -> f64 {
-    let grown = if pressed && strain < 0.65 { 1.005 } else { 1.0 };
-    (level * if strain > 0.8 { 0.985 } else { grown }).clamp(1.0, 4.0)
+/// The level over all credits: with many limiters each hears too seldom from one server, and its part of the trips
+/// is less than its jobs come in bursts for. Guards against parts unused, as limiters die or lose their traffic, and
+/// against jobs that wait while servers idle. A report tells of all limiters' work, so a few suffice: up by a fifth
+/// while nothing waits at the servers, down where a job waits at each core. Without reports all answers' times
+/// against what is long tell it, so slowly that some hundred answers double it.
+fn next_level(level: f64, strain: f64, pressed: bool, load: &Load) -> f64 {
+    let (down, up, fall, rise, most) = match (load.busy, load.waiting) {
+        // Eight times: a limiter that has its neighbours' traffic too, in a hall with few servers left.
+        (Some(busy), Some(waiting)) => (waiting >= 2.0, busy < 0.9 && waiting < 1.0, 0.8, 1.2, 8.0),
+        _ => (strain > 0.8, strain < 0.65, 0.985, 1.005, 4.0),
+    };
+    let grown = if pressed && up { rise } else { 1.0 };
+    (level * if down { fall } else { grown }).clamp(1.0, most)
 }
 
 impl Server {
@@ -721,9 +728,11 @@
         let rules = &self.server_rules;
         // Where limiters are many, credits are parts of a trip: all together bound what is out.
         let (mut credits, mut busy) = (0.0, 0.0);
-        for server in self.servers.iter().flatten().filter(|s| s.listed && now >= s.benched_until) {
-            credits += server.credits * self.level * server.warmth(now, rules);
+        for server in self.servers.iter().flatten() {
             busy += f64::from(server.out);
+            if server.listed && !server.aside && now >= server.benched_until {
+                credits += server.credits * self.level * self.reach * server.warmth(now, rules);
+            }
         }
         // Half of the credits left are room enough for what comes inside the quotas.
         self.idle = busy < 0.5 * credits && self.queue.is_empty();
@@ -822,6 +831,8 @@
 
     fn end_trip(&mut self, now: Duration, end: &TripEnd, out: &mut dyn Writer) {
         let (took, pressed) = (secs(end.took), !self.queue.is_empty());
+        // Where limiters hear each other, their own credits tell more.
+        let load = if self.gathers() { end.load } else { Load::default() };
         let Some(open) = self.jobs.get_mut(end.job as usize).and_then(|open| open.as_mut()) else { return };
         let Some(trip) = open.trips.get_mut(end.trip as usize).filter(|trip| trip.out) else { return };
         trip.out = false;
@@ -852,7 +863,7 @@
                 // A client that gave up would have waited longer: thrice as long stands for it.
                 let felt = if end.ending == Ending::Expired { took.max(3.0 * long) } else { took };
                 self.strain += (felt / long - self.strain) * 0.03;
-                self.level = next_level(self.level, self.strain, pressed);
+                self.level = next_level(self.level, self.strain, pressed, &load);
             }
             match end.ending {
                 Ending::Fulfilled => {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -534,13 +534,38 @@
     notes.lines.len()
 }
 
-#[test_case(2.0, 0.4, true => 2.01 ; "quick answers while jobs wait raise it")]
-#[test_case(2.0, 0.4, false => 2.0 ; "nothing waits")]
-#[test_case(2.0, 0.9, true => 1.97 ; "long answers cut it")]
-#[test_case(1.0, 0.9, true => 1.0 ; "never under what the credits say")]
-#[test_case(4.0, 0.1, true => 4.0 ; "nor over four times")]
-fn level_over_credits(level: f64, strain: f64, pressed: bool) -> f64 {
-    (next_level(level, strain, pressed) * 1000.0).round() / 1000.0
+#[test_case(2.0, 0.4, true, None => 2.01 ; "quick answers while jobs wait raise it")]
+#[test_case(2.0, 0.4, false, None => 2.0 ; "nothing waits")]
+#[test_case(2.0, 0.9, true, None => 1.97 ; "long answers cut it")]
+#[test_case(1.0, 0.9, true, None => 1.0 ; "never under what the credits say")]
+#[test_case(4.0, 0.1, true, None => 4.0 ; "nor over four times")]
+#[test_case(2.0, 0.9, true, Some((0.6, 0.0)) => 2.4 ; "a report of room counts more than long answers")]
+#[test_case(2.0, 0.1, true, Some((0.95, 0.0)) => 2.0 ; "a report of busy cores")]
+#[test_case(2.0, 0.1, true, Some((0.6, 2.0)) => 1.6 ; "a report of jobs that wait")]
+#[test_case(7.9, 0.1, true, Some((0.6, 0.0)) => 8.0 ; "at most eight times")]
+fn level_over_credits(level: f64, strain: f64, pressed: bool, report: Option<(f64, f64)>) -> f64 {
+    let load = report.map_or_else(Load::default, |(busy, waiting)| Load {
+        busy: Some(busy),
+        waiting: Some(waiting),
+        ..Load::default()
+    });
+    (next_level(level, strain, pressed, &load) * 1000.0).round() / 1000.0
+}
+
+/// Guards against credits that are learned at the regular servers and counted at all.
+#[test]
+fn what_the_regular_servers_bear_stands_for_all() {
+    let mut limiter = on_trip(Repeats::SingleUse);
+    limiter.servers.resize_with(20, || Some(Server::new(entry(9), &server_rules(), 100)));
+    limiter.servers.iter_mut().skip(2).flatten().for_each(|server| server.aside = true);
+    // One trip is out, and two servers with two credits each stand for twenty.
+    limiter.servers[0].iter_mut().for_each(|server| server.credits = 0.2);
+    limiter.servers[1].iter_mut().for_each(|server| server.credits = 0.2);
+    let chosen = [1.0, 10.0].map(|reach| {
+        limiter.reach = reach;
+        limiter.choose(at(1.1), 0)
+    });
+    assert_eq!(chosen, [None, Some(1)]);
 }
 
 #[test_case(0.02, 0.6 ; "a slow answer is waited for")]
