--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -40,10 +40,12 @@
     leaving: Mutex<Option<mpsc::OwnedPermit<News>>>,
 }
 
-/// Since when it waits for a request, and since when part of one is there.
+/// Since when it waits for a request, since when part of one is there, and since when the rest of an answer waits
+/// for the client to read on.
 struct Times {
     idle: Instant,
     heard: Option<Instant>,
+    held_up: Option<Instant>,
 }
 
 impl Guest {
@@ -52,7 +54,7 @@
             busy: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             evicted: AtomicBool::new(false),
-            times: Mutex::new(Times { idle: Instant::now(), heard: None }),
+            times: Mutex::new(Times { idle: Instant::now(), heard: None, held_up: None }),
             close: Notify::new(),
             leaving: Mutex::new(Some(leaving)),
         }
@@ -73,6 +75,11 @@
     /// not read yet: clients send that one again for connections that they used before only.
     fn rests(&self, limits: &Limits) -> bool {
         let times = lock(&self.times);
+        // Guards the end of an answer to a client that reads slowly: the job is answered, but its last bytes wait
+        // here. Who takes none of them for as long as a connection may be idle has gone.
+        if times.held_up.is_some_and(|since| since.elapsed() < limits.client_idle) {
+            return false;
+        }
         let settled = match (times.heard, self.requests.load(Ordering::Relaxed)) {
             (Some(_), _) => limits.client_unended,
             (None, 0) => limits.client_silent,
@@ -94,6 +101,18 @@
             lock(&self.times).heard.get_or_insert_with(Instant::now);
         }
     }
+
+    fn wrote(&self, _: usize) {
+        let mut times = lock(&self.times);
+        if times.held_up.take().is_some() {
+            // It rests from the last byte on.
+            times.idle = Instant::now();
+        }
+    }
+
+    fn held_up(&self) {
+        lock(&self.times).held_up = Some(Instant::now());
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -228,7 +247,9 @@
     /// A job in hand has ended: its connection rests from now on.
     fn let_go(&self, guest: &Guest) {
         self.in_hand.fetch_sub(1, Ordering::Relaxed);
-        *lock(&guest.times) = Times { idle: Instant::now(), heard: None };
+        let mut times = lock(&guest.times);
+        (times.idle, times.heard) = (Instant::now(), None);
+        drop(times);
         guest.busy.store(false, Ordering::Relaxed);
     }
 
@@ -292,7 +313,10 @@
     async fn finish(&self, asked: Instant) {
         loop {
             lock(&self.guests).values().for_each(|guest| guest.close.notify_one());
-            if self.in_hand.load(Ordering::Relaxed) == 0 && self.idle_for(asked) >= self.limits.stop_quiet {
+            // Nor while the rest of an answer waits for a client that reads slowly.
+            let held_up = lock(&self.guests).values().any(|guest| lock(&guest.times).held_up.is_some());
+            let in_hand = held_up || self.in_hand.load(Ordering::Relaxed) > 0;
+            if !in_hand && self.idle_for(asked) >= self.limits.stop_quiet {
                 return;
             }
             sleep(self.limits.stop_quiet / 10).await;
@@ -527,7 +551,7 @@
         let guest = Guest::new(queue.try_reserve_owned().expect("a place"));
         guest.requests.store(requests, Ordering::Relaxed);
         let ago = |seconds: f64| Instant::now() - Duration::from_secs_f64(seconds);
-        *lock(&guest.times) = Times { idle: ago(idle), heard: heard.map(ago) };
+        *lock(&guest.times) = Times { idle: ago(idle), heard: heard.map(ago), held_up: None };
         Arc::new(guest)
     }
 
@@ -561,6 +585,44 @@
         Ok(())
     }
 
+    /// An answer of more than the kernel holds, to a client that takes far longer for it than a connection may be
+    /// without a second request: it gets all. Guards against closing the connection under the last bytes.
+    #[tokio::test]
+    async fn a_slow_reader_gets_the_whole_of_its_answer() -> std::io::Result<()> {
+        use std::io::{Read, Write};
+        const LENGTH: usize = 24 << 20;
+        let settings = serde_json::json!({"packages": [{"name": "team"}], "balancers": 1, "classes":
+            [{"name": "look", "idempotency": "read_like", "hardLimitS": 9}]});
+        let terms = Paths::from_json(&settings).and_then(|paths| Terms::read(&paths)).expect("sound");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+        client.write_all(
+            b"GET /look?key=7 HTTP/1.1\r\nX-Txn: 9b\r\nX-Lane: look\r\nX-Plan: team\r\nX-Remaining: 8000m\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n",
+        )?;
+        let (stream, _) = listener.accept()?;
+        stream.set_nonblocking(true)?;
+        let (queue, mut news) = mpsc::channel(9);
+        let limits = Limits { client_whole: Duration::from_millis(40), ..limits() };
+        let door =
+            Door::new(limits, watch::channel(Arc::new(Tuned::first(terms))).1, queue, Figures::new(&[]));
+        let one = guest(0, 0.0, None);
+        tokio::spawn(async move {
+            door.serve(TcpStream::from_std(stream)?, one).await;
+            std::io::Result::Ok(())
+        });
+        let Some(News::Arrival(arrival)) = news.recv().await else { panic!("no job") };
+        let body = Bytes::from(vec![b'x'; LENGTH]);
+        let delivery = crate::driver::Delivery { headers: Default::default(), body, flow: None };
+        arrival.answer.send(crate::driver::Answer::Fulfilled(delivery)).expect("a client that waits");
+        let read = tokio::task::spawn_blocking(move || {
+            std::thread::sleep(Duration::from_millis(400));
+            let mut answer = Vec::new();
+            client.read_to_end(&mut answer).map(|_| answer.len())
+        });
+        assert!(read.await.expect("read")? > LENGTH);
+        Ok(())
+    }
+
     #[test_case(7, 9 => Vec::<usize>::new() ; "nobody where there is room")]
     #[test_case(6, 9 => vec![3] ; "who never asked first")]
     #[test_case(3, 9 => vec![3, 1, 2] ; "then who asked once, the longest idle first")]
--- a/crates/merlinreel/src/stream.rs
+++ b/crates/merlinreel/src/stream.rs
@@ -12,6 +12,8 @@
 pub trait Tally {
     fn read(&self, _bytes: usize) {}
     fn wrote(&self, _bytes: usize) {}
+    /// The kernel takes no more for now: something is still to be written.
+    fn held_up(&self) {}
     /// Whether the next write begins something new, on a connection where nothing may be waiting; asked once
     /// a write.
     fn begins(&self) -> bool {
@@ -44,8 +46,10 @@
     }
 
     fn count(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = done {
-            self.tally.wrote(bytes);
+        match done {
+            Poll::Ready(Ok(bytes)) => self.tally.wrote(bytes),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.tally.held_up(),
         }
         done
     }
