--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -206,11 +206,10 @@
     job.is_multiple_of(4)
 }
 
-/// The level over all credits: with many limiters each hears too seldom from one server, and its part of the trips
-/// is less than its jobs come in bursts for. Guards against parts unused, as limiters die or lose their traffic, and
-/// against jobs that wait while servers idle. A report tells of all limiters' work, so a few suffice: up by a fifth
-/// while nothing waits at the servers, down where a job waits at each core. Without reports all answers' times
-/// against what is long tell it, so slowly that some hundred answers double it.
+/// The level over all credits: with many limiters each hears too seldom from one server, and its part is less than
+/// a burst takes. Guards against parts that lie unused while jobs wait, as limiters die or lose their traffic. A
+/// report tells of all limiters' work, so a few suffice: up while nothing waits at servers, down where a job waits
+/// at each core. Without reports answers' times tell it, so slowly that some hundred double it.
 fn next_level(level: f64, strain: f64, pressed: bool, load: &Load) -> f64 {
     let (down, up, fall, rise, most) = match (load.busy, load.waiting) {
         // Eight times: a limiter that has its neighbours' traffic too, in a hall with few servers left.
@@ -305,6 +304,8 @@
             // Half a minute of buckets outlasts most surges.
             answers: Ring::new(Duration::from_secs(32)),
             answer_times: Ring::new(Duration::from_secs(32)),
+            // As an inbox is measured.
+            word: Ring::new(Duration::from_secs(1)),
             last_letter: vec![(0, 0); peers.limiters as usize],
             owing: vec![0; peers.limiters as usize],
             told_peer: vec![Duration::ZERO; peers.limiters as usize],
@@ -404,9 +405,7 @@
         let counted = gathers || self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
         let blind = secs(interval) + 0.03; // And the way of a letter or a call, some tens of ms.
-        // Where one gathers, no peer is heard directly: past one beat a new quota would seem whole at each of
-        // hundreds of limiters. Guards against that overspend: split until the gatherer speaks (as it answers
-        // those that report within `LISTENED`); its word or a report heard ends the split.
+        // Where one gathers no peer is heard directly: a new quota would seem whole at each of hundreds of limiters.
         let split = if gathers { LISTENED } else { interval };
         let i = self.account(now, job.customer, job.plan);
         let (account, peers) = (&mut self.accounts[i], self.peers);
@@ -518,7 +517,10 @@
     /// The batch where one limiter of a set gathers: totals go to it, and what is left comes back.
     fn gather(&mut self, now: Duration, out: &mut dyn Writer) {
         let peers = self.peers;
-        let room = f64::from(peers.limiters) * secs(self.beat()) / secs(self.letter_interval());
+        // Few gather for customers that ask much, and must tell many at once: each has four times its even share,
+        // while what it is told itself, as all are by all, leaves two thirds of its inbox to the reports.
+        let more = if self.word.sum(now) < peers.inbox_per_s / 3.0 { 4.0 } else { 1.0 };
+        let room = more * f64::from(peers.limiters) * secs(self.beat()) / secs(self.letter_interval());
         self.letter_room = (self.letter_room + room).min(room + 4.0);
         let mut mail: Vec<(f64, Vec<Row>)> = vec![(0.0, Vec::new()); peers.limiters as usize];
         let (accounts, plans, owing) = (&mut self.accounts, &self.plans, &self.owing);
@@ -596,6 +598,7 @@
             return;
         }
         self.last_letter[from] = (head.life, head.number);
+        self.word.add(now, f64::from(u8::from(rows.iter().any(|row| row.left.is_some()))));
         self.owing[from] = 0;
         if head.life > life {
             // A peer that started again tells its totals from nothing; what it told before stays counted.
@@ -622,8 +625,10 @@
                 account.hear(now, plan, from, window, row.total, floor);
                 if let Some(asked) = row.asked {
                     account.asked_units.add(now, asked);
+                    // Who reported of late was told of every change since.
+                    let known = account.listeners.iter().any(|one| one.peer == letter.from && !one.owed);
                     account.listeners.retain(|listener| listener.peer != letter.from);
-                    account.listeners.push(Listener { peer: letter.from, heard: now, owed: true });
+                    account.listeners.push(Listener { peer: letter.from, heard: now, owed: !known });
                 }
                 continue;
             };
@@ -855,8 +860,7 @@
             if !matches!(end.ending, Ending::Revoked | Ending::Expired | Ending::Unsent) {
                 server.owing_since = now;
             }
-            let unseen = matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent);
-            if !unseen && (!overdue || end.ending == Ending::Fulfilled) {
+            if !end.ending.never_ran() && (!overdue || end.ending == Ending::Fulfilled) {
                 // Four tenths of the target time leave room; beyond 2.5 calm ones servers only queue.
                 let long = (target * 0.4).min(self.calm * 2.5).max(0.001);
                 server.pace(now, took, long, floor, pressed);
@@ -991,9 +995,6 @@
     /// Sends what waits, the last arrived first: under pressure the newest are answered in time, where the
     /// oldest first would make all late. What cannot be answered by its target time is given up at once.
     fn dispatch(&mut self, now: Duration, out: &mut dyn Writer) {
-        if self.queue.is_empty() {
-            return;
-        }
         let mut queue = std::mem::take(&mut self.queue);
         // What gains less than half as much for its target time goes after; near equals fare alike.
         let worth = |open: &OpenJob| {
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -243,6 +243,36 @@
     assert_eq!((notes.letters[0].0, rows[0].total, rows[0].left), (1, 3.0, Some(5.0)));
 }
 
+/// Letters to a limiter that reports again a little later: none where it was told all that changed, as each of
+/// hundreds of reports would else draw an answer and those that matter wait; one where much more is asked for.
+#[test_case(0.0 => 0 ; "nothing changed")]
+#[test_case(60.0 => 1 ; "far more is asked for")]
+fn a_second_report(asked: f64) -> usize {
+    let mut limiter = limiter(Repeats::Replayable, many());
+    let mut notes = Notes::default();
+    for (number, when, asked) in [(1, 1.0, 6.0), (2, 1.5, asked)] {
+        notes.letters.clear();
+        let report = Row { asked: Some(asked), ..row(3.0, None) };
+        limiter.read_letter(at(when), &letter(1, number, &[report]));
+        limiter.sync(at(when), &mut notes);
+    }
+    notes.letters.len()
+}
+
+/// Letters in one beat of a gatherer that owes thirty limiters its word: four times its even share of the fleet's
+/// letters, else its word comes seconds late; its even share while inboxes, its own the sample, fill with such.
+#[test_case(0.0 => 12 ; "inboxes have room")]
+#[test_case(20.0 => 3 ; "inboxes fill")]
+fn letters_in_a_beat(words: f64) -> usize {
+    let mut limiter = limiter(Repeats::Replayable, many());
+    let report = Row { asked: Some(6.0), ..row(3.0, None) };
+    (1..31).for_each(|from| limiter.read_letter(at(1.0), &Letter { from, ..letter(1, 1, &[report]) }));
+    limiter.word.add(at(1.0), words);
+    let mut notes = Notes::default();
+    limiter.sync(at(1.0), &mut notes);
+    notes.letters.len()
+}
+
 #[test_case(0, 2.0 ; "its reading less what it was not told yet")]
 #[test_case(5, 5.0 ; "one that does not gather is not heeded")]
 fn reading_the_gatherer(first: u32, left: f64) {
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -238,6 +238,8 @@
     pub(crate) letters: u64,
     /// Letters that may go out now; by peer, when it was told last and how many letters it left unanswered.
     pub(crate) letter_room: f64,
+    /// Letters in of late with what a gatherer tells.
+    pub(crate) word: Ring,
     pub(crate) told_peer: Vec<Duration>,
     pub(crate) owing: Vec<u32>,
     /// By limiter: the life and the number of the last letter.
@@ -332,6 +334,7 @@
             answer_times: Ring::default(),
             last_letter: Vec::new(),
             letter_room: 0.0,
+            word: Ring::default(),
             told_peer: Vec::new(),
             owing: Vec::new(),
             calls: 0.0,
