--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -168,8 +168,7 @@
 
     /// Tells who asked of late, where what is left is not what they must think.
     fn tell_listeners(&mut self, now: Duration, plan: &Plan) {
-        let left = self.left(now, plan);
-        let asked = self.asked(now);
+        let (left, asked) = (self.left(now, plan), self.asked(now));
         let thought = draw(self.thought(now, plan), self.pace.unwrap_or(0.0), plan);
         let true_one = draw(left, asked, plan);
         // A third more or less is no more than use varies by chance.
@@ -540,7 +539,9 @@
                 mail[to as usize].0 += need;
                 mail[to as usize].1.push(row);
             };
-            let asks = account.due[0] && now >= account.asked_at + LISTENED * 3 / 4;
+            // A set of hundreds would fill the gatherer's inbox by asking alone: a quarter of it is for that.
+            let turn = span(4.0 * f64::from(account.set_size) / peers.inbox_per_s).max(LISTENED * 3 / 4);
+            let asks = account.due[0] && now >= account.asked_at + turn;
             if account.news[1] > 0 {
                 add(to, 1, account.own[1], 0.0, None);
             }
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -259,6 +259,22 @@
     notes.letters.len()
 }
 
+/// Whether one that only defers reports again after so long: the gatherer's inbox takes 40 a second, and a quarter of
+/// that is for such. Guards the reports that matter against those of a set of hundreds.
+#[test_case(60, 5.0 => false ; "not yet in a set of sixty")]
+#[test_case(60, 7.0 => true ; "then it does")]
+#[test_case(20, 5.0 => true ; "sooner in a smaller set")]
+fn asking_again(set_size: u32, after: f64) -> bool {
+    let mut limiter = limiter(Repeats::Replayable, many());
+    let account = account(&mut limiter);
+    account.roll(at(10.0), &plan());
+    (account.set_size, account.set_first, account.due[0]) = (set_size, 1, true);
+    account.asked_at = at(10.0 - after);
+    let mut notes = Notes::default();
+    limiter.sync(at(10.0), &mut notes);
+    !notes.letters.is_empty()
+}
+
 /// Letters in one beat of a gatherer that owes thirty limiters its word: four times its even share of the fleet's
 /// letters, else its word comes seconds late; its even share while inboxes, its own the sample, fill with such.
 #[test_case(0.0 => 12 ; "inboxes have room")]
