--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -487,6 +487,9 @@
 
 /// How many of the limiters send to each of the servers as a rule: the fewest and the most. Guards against servers
 /// that nobody meets, and against a connection from each of many limiters.
+#[test_case(1, 0, false => (0, 0) ; "none listed")]
+#[test_case(1, 3, true => (1, 1) ; "one limiter without a peer")]
+#[test_case(300, 1, false => (300, 300) ; "a lone server")]
 #[test_case(4, 14, false => (4, 4) ; "all where limiters are few")]
 #[test_case(100, 60, false => (9, 11) ; "ten of a hundred")]
 #[test_case(300, 200, false => (9, 12) ; "ten of three hundred")]
