--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -205,10 +205,10 @@
     job.is_multiple_of(4)
 }
 
-/// The level over all credits: with many limiters each hears too seldom from one server, and its part is less than
-/// a burst takes. Guards against parts that lie unused while jobs wait, as limiters die or lose their traffic. A
-/// report tells of all limiters' work, so a few suffice: up while nothing waits at servers, down where a job waits
-/// at each core. Without reports answers' times tell it, so slowly that some hundred double it.
+/// The level over all credits: with many limiters each hears too seldom from one server, and its part is less
+/// than a burst takes. Guards against parts unused while jobs wait, as limiters die or lose traffic. A
+/// report tells of all limiters' work, so a few suffice: up while nothing waits at servers, down where a job
+/// waits at each core. Without reports answers' times tell it, so slowly that some hundred double it.
 fn next_level(level: f64, strain: f64, pressed: bool, load: &Load) -> f64 {
     let (down, up, fall, rise, most) = match (load.busy, load.waiting) {
         // Eight times: a limiter that has its neighbours' traffic too, in a hall with few servers left.
@@ -404,7 +404,7 @@
         let counted = gathers || self.peers.counter && now >= self.behind_until;
         let interval = if counted { self.beat() } else { self.letter_interval() };
         let blind = secs(interval) + 0.03; // And the way of a letter or a call, some tens of ms.
-        // Where one gathers no peer is heard directly: a new quota would seem whole at each of hundreds of limiters.
+        // Where one gathers no peer is heard directly: a new quota would seem whole at each of hundreds.
         let split = if gathers { LISTENED } else { interval };
         let i = self.account(now, job.customer, job.plan);
         let (account, peers) = (&mut self.accounts[i], self.peers);
@@ -516,8 +516,8 @@
     /// The batch where one limiter of a set gathers: totals go to it, and what is left comes back.
     fn gather(&mut self, now: Duration, out: &mut dyn Writer) {
         let peers = self.peers;
-        // Few gather for customers that ask much, and must tell many at once: each has four times its even share,
-        // while what it is told itself, as all are by all, leaves two thirds of its inbox to the reports.
+        // Few gather for customers that ask much, and must tell many at once: each has four times its even
+        // share, while what it is told itself, as all are by all, leaves two thirds of its inbox to reports.
         let more = if self.word.sum(now) < peers.inbox_per_s / 3.0 { 4.0 } else { 1.0 };
         let room = more * f64::from(peers.limiters) * secs(self.beat()) / secs(self.letter_interval());
         self.letter_room = (self.letter_room + room).min(room + 4.0);
@@ -540,8 +540,8 @@
                 mail[to as usize].1.push(row);
             };
             // A set of hundreds would fill the gatherer's inbox by asking alone: a quarter of it is for that.
-            let turn = span(4.0 * f64::from(account.set_size) / peers.inbox_per_s).max(LISTENED * 3 / 4);
-            let asks = account.due[0] && now >= account.asked_at + turn;
+            let turn = span(4.0 * f64::from(account.set_size) / peers.inbox_per_s.max(1.0));
+            let asks = account.due[0] && now >= account.asked_at + turn.max(LISTENED * 3 / 4);
             if account.news[1] > 0 {
                 add(to, 1, account.own[1], 0.0, None);
             }
@@ -704,7 +704,7 @@
         let bears = |s: &Server| if now >= s.benched_until { s.warmth(now, &rules) } else { 0.0 };
         let mut ring: Vec<&mut Server> = self.servers.iter_mut().flatten().filter(|s| s.listed).collect();
         ring.sort_by_key(|server| server.entry.mark);
-        // Ten limiters at each even out that some get several times the mean; six leave a choice in each zone.
+        // Ten limiters at each even out that some get several times the mean; six leave a choice in a zone.
         let most = (10.0 * ring.len() as f64 / f64::from(self.peers.limiters)).max(6.0);
         let all: f64 = ring.iter().map(|server| bears(server)).sum();
         let start = ((f64::from(self.peers.me) * 0.618).fract() * ring.len() as f64) as usize;
@@ -717,8 +717,8 @@
         self.reach = if kept > 0.0 { (all / kept).max(1.0) } else { 1.0 };
     }
 
-    /// What a warm server was sent of late. While none is warm what was seen last holds, and a cold one gets a trip:
-    /// guards against a fleet taken for cold at a stroke, which would idle.
+    /// What a warm server was sent of late. While none is warm what was last holds, and a cold one gets a
+    /// trip: guards against a fleet taken for cold at a stroke, which would idle.
     fn gauge(&mut self, now: Duration) {
         let warm = |s: &&mut Server| s.listed && !s.aside && s.cold_since.is_none() && now >= s.benched_until;
         let sends = self.servers.iter_mut().flatten().filter(warm).map(|server| server.sends.sum(now));
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -261,11 +261,12 @@
 
 /// Whether one that only defers reports again after so long: the gatherer's inbox takes 40 a second, and a quarter of
 /// that is for such. Guards the reports that matter against those of a set of hundreds.
-#[test_case(60, 5.0 => false ; "not yet in a set of sixty")]
-#[test_case(60, 7.0 => true ; "then it does")]
-#[test_case(20, 5.0 => true ; "sooner in a smaller set")]
-fn asking_again(set_size: u32, after: f64) -> bool {
-    let mut limiter = limiter(Repeats::Replayable, many());
+#[test_case(60, 40.0, 5.0 => false ; "not yet in a set of sixty")]
+#[test_case(60, 40.0, 7.0 => true ; "then it does")]
+#[test_case(20, 40.0, 5.0 => true ; "sooner in a smaller set")]
+#[test_case(60, 0.0, 7.0 => false ; "an inbox that takes nothing is none to divide by")]
+fn asking_again(set_size: u32, inbox_per_s: f64, after: f64) -> bool {
+    let mut limiter = limiter(Repeats::Replayable, Peers { inbox_per_s, ..many() });
     let account = account(&mut limiter);
     account.roll(at(10.0), &plan());
     (account.set_size, account.set_first, account.due[0]) = (set_size, 1, true);
