--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -48,6 +48,14 @@
     held_up: Option<Instant>,
 }
 
+impl Times {
+    /// Guards the end of an answer to a client that reads slowly: the job is answered, but its last bytes wait
+    /// here. Who takes none of them for as long as a connection may be idle has gone.
+    fn held_up(&self, limits: &Limits) -> bool {
+        self.held_up.is_some_and(|since| since.elapsed() < limits.client_idle)
+    }
+}
+
 impl Guest {
     fn new(leaving: mpsc::OwnedPermit<News>) -> Guest {
         Guest {
@@ -75,9 +83,7 @@
     /// not read yet: clients send that one again for connections that they used before only.
     fn rests(&self, limits: &Limits) -> bool {
         let times = lock(&self.times);
-        // Guards the end of an answer to a client that reads slowly: the job is answered, but its last bytes wait
-        // here. Who takes none of them for as long as a connection may be idle has gone.
-        if times.held_up.is_some_and(|since| since.elapsed() < limits.client_idle) {
+        if times.held_up(limits) {
             return false;
         }
         let settled = match (times.heard, self.requests.load(Ordering::Relaxed)) {
@@ -111,7 +117,8 @@
     }
 
     fn held_up(&self) {
-        lock(&self.times).held_up = Some(Instant::now());
+        // From the first time on: a write is tried again at every turn, read on or not.
+        lock(&self.times).held_up.get_or_insert_with(Instant::now);
     }
 }
 
@@ -314,7 +321,7 @@
         loop {
             lock(&self.guests).values().for_each(|guest| guest.close.notify_one());
             // Nor while the rest of an answer waits for a client that reads slowly.
-            let held_up = lock(&self.guests).values().any(|guest| lock(&guest.times).held_up.is_some());
+            let held_up = lock(&self.guests).values().any(|guest| lock(&guest.times).held_up(&self.limits));
             let in_hand = held_up || self.in_hand.load(Ordering::Relaxed) > 0;
             if !in_hand && self.idle_for(asked) >= self.limits.stop_quiet {
                 return;
@@ -585,6 +592,17 @@
         Ok(())
     }
 
+    /// Held up since so many seconds, and tried again just now. Guards the places, and a stop, against a client that
+    /// never reads: each try that fails is not a new beginning.
+    #[test_case(5.0 => false ; "it may read on")]
+    #[test_case(11.0 => true ; "it has gone")]
+    fn a_reader_that_takes_nothing_gives_way(since: f64) -> bool {
+        let one = guest(1, 20.0, None);
+        lock(&one.times).held_up = Some(Instant::now() - Duration::from_secs_f64(since));
+        one.held_up();
+        one.rests(&limits())
+    }
+
     /// An answer of more than the kernel holds, to a client that takes far longer for it than a connection may be
     /// without a second request: it gets all. Guards against closing the connection under the last bytes.
     #[tokio::test]
