Clients' connections in small modules, messages in a low one: behaviour unchanged

Change: clients.rs into guest (a connection), hand (what is in hand), intake (a request taken in) and tests; messages.rs holds what passes between the driver and its tasks and knows none of them, so no task imports the driver. Lines moved, visibility of fields, nothing else.

--- /dev/null
+++ b/crates/merlinreel/src/clients/guest.rs
@@ -0,0 +1,130 @@
+//! One client's connection: what it did last, and who gives way where places are short.
+
+use crate::limits::Limits;
+use crate::messages::News;
+use crate::stream::Tally;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::sync::{Notify, mpsc};
+
+/// One client's connection.
+pub struct Guest {
+    pub busy: AtomicBool,
+    /// Requests that it sent before.
+    pub requests: AtomicUsize,
+    /// It was idle and has to give way.
+    pub evicted: AtomicBool,
+    pub times: Mutex<Times>,
+    pub close: Notify,
+    /// A place in the queue for the news that the client has left; it can leave but once.
+    pub leaving: Mutex<Option<mpsc::OwnedPermit<News>>>,
+}
+
+/// Since when it waits for a request, since when part of one is there, and since when the rest of an answer waits
+/// for the client to read on.
+pub struct Times {
+    pub idle: Instant,
+    pub heard: Option<Instant>,
+    pub held_up: Option<Instant>,
+}
+
+impl Times {
+    /// Guards the end of an answer to a client that reads slowly: the job is answered, but its last bytes wait
+    /// here. Who takes none of them for as long as a connection may be idle has gone.
+    pub fn held_up(&self, limits: &Limits) -> bool {
+        self.held_up.is_some_and(|since| since.elapsed() < limits.client_idle)
+    }
+}
+
+impl Guest {
+    pub fn new(leaving: mpsc::OwnedPermit<News>) -> Guest {
+        Guest {
+            busy: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            evicted: AtomicBool::new(false),
+            times: Mutex::new(Times { idle: Instant::now(), heard: None, held_up: None }),
+            close: Notify::new(),
+            leaving: Mutex::new(Some(leaving)),
+        }
+    }
+
+    /// The request after this must be whole by then, or the connection closes. Guards the places against who
+    /// never sends one, or never ends it.
+    pub fn due(&self, limits: &Limits) -> Instant {
+        let times = lock(&self.times);
+        match (self.requests.load(Ordering::Relaxed), times.heard) {
+            (0, _) | (1, None) => times.idle + limits.client_whole,
+            (_, Some(heard)) => heard + limits.client_whole,
+            (_, None) => times.idle + limits.client_idle,
+        }
+    }
+
+    /// Nothing is likely to be on its way here. Guards against dropping a new connection whose first request was
+    /// not read yet: clients send that one again for connections that they used before only.
+    pub fn rests(&self, limits: &Limits) -> bool {
+        let times = lock(&self.times);
+        if times.held_up(limits) {
+            return false;
+        }
+        let settled = match (times.heard, self.requests.load(Ordering::Relaxed)) {
+            (Some(_), _) => limits.client_unended,
+            (None, 0) => limits.client_silent,
+            (None, _) => limits.client_settled,
+        };
+        !self.busy.load(Ordering::Relaxed) && times.heard.unwrap_or(times.idle).elapsed() >= settled
+    }
+
+    /// Who gives way first: who never asked, then who asked once, then the others, the longest idle before.
+    /// Guards those that come back against crowds that stay.
+    pub fn rank(&self) -> (usize, Instant) {
+        (self.requests.load(Ordering::Relaxed).min(2), lock(&self.times).idle)
+    }
+}
+
+impl Tally for Guest {
+    fn read(&self, _: usize) {
+        if !self.busy.load(Ordering::Relaxed) {
+            lock(&self.times).heard.get_or_insert_with(Instant::now);
+        }
+    }
+
+    fn wrote(&self, _: usize) {
+        let mut times = lock(&self.times);
+        if times.held_up.take().is_some() {
+            // It rests from the last byte on.
+            times.idle = Instant::now();
+        }
+    }
+
+    fn held_up(&self) {
+        // From the first time on: a write is tried again at every turn, read on or not.
+        lock(&self.times).held_up.get_or_insert_with(Instant::now);
+    }
+}
+
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// As many idle connections as are there beyond what may stay idle; one that comes back only where all places are
+/// taken. Guards against a front that holds so many connections and no more, which crowds that stay would fill.
+pub fn who_gives_way<'a>(
+    guests: impl ExactSizeIterator<Item = &'a Arc<Guest>>,
+    limits: &Limits,
+) -> Vec<&'a Guest> {
+    let all = guests.len() + 1;
+    if all <= limits.clients_kept {
+        return Vec::new();
+    }
+    // What was asked before to give way may still be there.
+    let (leaving, staying): (Vec<_>, Vec<_>) =
+        guests.map(Arc::as_ref).partition(|guest| guest.evicted.load(Ordering::Relaxed));
+    let mut idle: Vec<&Guest> = staying.into_iter().filter(|guest| guest.rests(limits)).collect();
+    if all <= limits.clients_most {
+        idle.retain(|guest| guest.requests.load(Ordering::Relaxed) < 2);
+    }
+    idle.sort_unstable_by_key(|guest| guest.rank());
+    idle.truncate((all - limits.clients_kept).saturating_sub(leaving.len()));
+    idle
+}
--- /dev/null
+++ b/crates/merlinreel/src/clients/hand.rs
@@ -0,0 +1,78 @@
+//! What is in hand at a client's connection: a request, or a long answer that flows.
+
+use super::Door;
+use super::guest::{Guest, lock};
+use crate::figures::Outcome;
+use crate::flow::Held;
+use crate::messages::News;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Tells the driver that the client has left, unless its job has been answered.
+pub struct Attending<'a> {
+    pub guest: &'a Guest,
+    pub ticket: Option<u64>,
+}
+
+impl Drop for Attending<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket
+            && let Some(place) = lock(&self.guest.leaving).take()
+        {
+            place.send(News::Left(ticket));
+        }
+    }
+}
+
+/// A request in hand, answered or left at its end.
+pub struct Hand<'a> {
+    door: &'a Door,
+    guest: &'a Guest,
+    /// How many there were before it.
+    pub number: usize,
+}
+
+impl<'a> Hand<'a> {
+    pub fn take(door: &'a Door, guest: &'a Guest) -> Hand<'a> {
+        guest.busy.store(true, Ordering::Relaxed);
+        guest.requests.fetch_add(1, Ordering::Relaxed);
+        Hand { door, guest, number: door.in_hand.fetch_add(1, Ordering::Relaxed) }
+    }
+}
+
+impl Drop for Hand<'_> {
+    fn drop(&mut self) {
+        self.door.let_go(self.guest);
+    }
+}
+
+/// Keeps a client's connection busy, and its answer in hand, while a long answer flows on it. Guards the answer
+/// against a connection that looks idle once its request is answered at the head, and is closed under the body,
+/// and against a stop that ends the process with nothing else in hand.
+pub struct Flowing {
+    door: Arc<Door>,
+    guest: Arc<Guest>,
+    class: String,
+}
+
+impl Flowing {
+    pub fn new(door: Arc<Door>, guest: Arc<Guest>, class: String) -> Flowing {
+        guest.busy.store(true, Ordering::Relaxed);
+        door.in_hand.fetch_add(1, Ordering::Relaxed);
+        Flowing { door, guest, class }
+    }
+}
+
+impl Held for Flowing {
+    /// An answer that the limiter began and could not complete has failed.
+    fn ended(self: Box<Self>, whole: bool) {
+        let outcome = if whole { Outcome::Served } else { Outcome::Failed };
+        self.door.figures.answered(&self.class, outcome);
+    }
+}
+
+impl Drop for Flowing {
+    fn drop(&mut self) {
+        self.door.let_go(&self.guest);
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/clients/intake.rs
@@ -0,0 +1,114 @@
+//! A request taken in: read whole, handed to the driver as a job, and answered.
+
+use super::Door;
+use super::guest::Guest;
+use super::hand::{Attending, Hand};
+use crate::decode::{TXN, decode, encode, last, respond};
+use crate::flow::Reply;
+use crate::log;
+use crate::messages::{Arrival, News, Parcel};
+use crate::servers::strip_hop_by_hop;
+use crate::stream::Tally;
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::{Request, Response, StatusCode, Uri};
+use merlinreel_core::Job;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+impl Door {
+    pub(super) async fn request(&self, request: Request<Incoming>, guest: &Guest) -> Response<Reply> {
+        // The client's time runs from its sending: this is the earliest that is known of it here.
+        let sent = Instant::now();
+        if request.uri().path() == "/up" {
+            let ready = !self.stopping.load(Ordering::Relaxed);
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return respond(status, String::new()).map(Either::Left);
+        }
+        // The whole request must be there by then, whatever time the client claims to have.
+        let due = guest.due(&self.limits).min(sent + self.limits.client_whole);
+        guest.read(0);
+        let (job, parcel) = match self.read(request, sent, due).await {
+            Ok(whole) => whole,
+            Err(answer) => return last(answer).map(Either::Left),
+        };
+        let hand = Hand::take(self, guest);
+        // The places beyond are kept to say so to whoever comes, at once.
+        if hand.number >= self.limits.clients {
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()))
+                .map(Either::Left);
+        }
+        self.job(job, parcel, sent + job.time_left, guest).await
+    }
+
+    /// The whole of a request, or what is wrong with it. Until it is there nothing is taken, so that one that is
+    /// never whole can give way to others.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        sent: Instant,
+        due: Instant,
+    ) -> Result<(Job, Parcel), Response<Full<Bytes>>> {
+        let (mut head, body) = request.into_parts();
+        // A job keeps the rules that were in force when it came, whatever is read later.
+        let tuned = self.tuned.borrow().clone();
+        let mut job =
+            decode(&head, &tuned.terms).map_err(|what| respond(StatusCode::BAD_REQUEST, what + "\n"))?;
+        job.category = tuned.indices[job.category];
+        let mut room = None;
+        let body = if body.is_end_stream() {
+            Bytes::new()
+        } else {
+            let (most, length) = (self.limits.body, body.size_hint().lower());
+            if length > most as u64 {
+                log!("clients: a body of {length} bytes is longer than {most}: 413");
+                return Err(respond(StatusCode::PAYLOAD_TOO_LARGE, String::new()));
+            }
+            // Guards the memory against many large bodies at once.
+            room = self.claims.body(length as usize);
+            if room.is_none() {
+                return Err(respond(StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n".to_owned()));
+            }
+            // Guards the place against a body that never ends.
+            let due = due.min(sent + job.time_left);
+            match timeout_at(due.into(), Limited::new(body, most).collect()).await {
+                Ok(Ok(body)) => body.to_bytes(),
+                Ok(Err(error)) => return Err(respond(StatusCode::BAD_REQUEST, format!("{error}\n"))),
+                Err(_) => {
+                    log!("clients: a body of {length} bytes was not whole in time: 408");
+                    return Err(respond(StatusCode::REQUEST_TIMEOUT, String::new()));
+                }
+            }
+        };
+        let id = head.headers.get(TXN).and_then(|id| self.claims.open(id, room));
+        let claim =
+            id.ok_or_else(|| respond(StatusCode::CONFLICT, "x-txn: such a job is open\n".to_owned()))?;
+        strip_hop_by_hop(&mut head.headers);
+        // Servers get the path alone, whichever form the client's target had.
+        let uri = match head.uri.authority() {
+            Some(_) => head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default(),
+            None => head.uri,
+        };
+        let claim = Some(claim);
+        Ok((job, Parcel { method: head.method, uri, headers: head.headers, body, claim }))
+    }
+
+    async fn job(&self, job: Job, parcel: Parcel, until: Instant, guest: &Guest) -> Response<Reply> {
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (answer, answered) = oneshot::channel();
+        let arrival = Arrival { ticket, job, until, parcel, answer };
+        let mut attending = Attending { guest, ticket: Some(ticket) };
+        if self.queue.send(News::Arrival(Box::new(arrival))).await.is_err() {
+            return last(respond(StatusCode::SERVICE_UNAVAILABLE, String::new())).map(Either::Left);
+        }
+        let answer = answered.await;
+        attending.ticket = None;
+        match answer {
+            Ok(answer) => encode(answer),
+            // The driver has ended; nothing is known of the job.
+            Err(_) => last(respond(StatusCode::BAD_GATEWAY, String::new())).map(Either::Left),
+        }
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -0,0 +1,116 @@
+use super::guest::{Guest, Times, lock, who_gives_way};
+use super::*;
+use crate::messages::News;
+use crate::stream::Tally;
+use hyper::body::Bytes;
+use merlinreel_settings::{Paths, Terms};
+use test_case::test_case;
+use tokio::sync::mpsc;
+
+/// A connection with so many requests behind it, idle for so many seconds, perhaps with part of one there.
+fn guest(requests: usize, idle: f64, heard: Option<f64>) -> Arc<Guest> {
+    let (queue, _news) = mpsc::channel(1);
+    let guest = Guest::new(queue.try_reserve_owned().expect("a place"));
+    guest.requests.store(requests, Ordering::Relaxed);
+    let ago = |seconds: f64| Instant::now() - Duration::from_secs_f64(seconds);
+    *lock(&guest.times) = Times { idle: ago(idle), heard: heard.map(ago), held_up: None };
+    Arc::new(guest)
+}
+
+fn terms() -> Terms {
+    Paths::from_json(&serde_json::json!({})).and_then(|paths| Terms::read(&paths)).expect("sound")
+}
+
+fn limits() -> Limits {
+    Limits::new(1024, 192, &terms()).expect("room")
+}
+
+/// Asked to give way, with a first request that came in unseen: it has its answer.
+#[tokio::test]
+async fn what_came_in_unseen_is_answered() -> std::io::Result<()> {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+    client.write_all(b"GET /up HTTP/1.1\r\n\r\n")?;
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    let (queue, _news) = mpsc::channel(1);
+    let asked = guest(0, 1.0, None);
+    asked.evicted.store(true, Ordering::Relaxed);
+    asked.close.notify_one();
+    Door::new(limits(), watch::channel(Arc::new(Tuned::first(terms()))).1, queue, Figures::new(&[]))
+        .serve(TcpStream::from_std(stream)?, asked)
+        .await;
+    let mut answer = String::new();
+    client.read_to_string(&mut answer)?;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    Ok(())
+}
+
+/// Held up since so many seconds, and tried again just now. Guards the places, and a stop, against a client that
+/// never reads: each try that fails is not a new beginning.
+#[test_case(5.0 => false ; "it may read on")]
+#[test_case(11.0 => true ; "it has gone")]
+fn a_reader_that_takes_nothing_gives_way(since: f64) -> bool {
+    let one = guest(1, 20.0, None);
+    lock(&one.times).held_up = Some(Instant::now() - Duration::from_secs_f64(since));
+    one.held_up();
+    one.rests(&limits())
+}
+
+/// An answer of more than the kernel holds, to a client that takes far longer for it than a connection may be
+/// without a second request: it gets all. Guards against closing the connection under the last bytes.
+#[tokio::test]
+async fn a_slow_reader_gets_the_whole_of_its_answer() -> std::io::Result<()> {
+    use std::io::{Read, Write};
+    const LENGTH: usize = 24 << 20;
+    let settings = serde_json::json!({"packages": [{"name": "team"}], "balancers": 1, "classes":
+        [{"name": "look", "idempotency": "read_like", "hardLimitS": 9}]});
+    let terms = Paths::from_json(&settings).and_then(|paths| Terms::read(&paths)).expect("sound");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+    client.write_all(
+        b"GET /look?key=7 HTTP/1.1\r\nX-Txn: 9b\r\nX-Lane: look\r\nX-Plan: team\r\nX-Remaining: 8000m\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n",
+    )?;
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    let (queue, mut news) = mpsc::channel(9);
+    let limits = Limits { client_whole: Duration::from_millis(40), ..limits() };
+    let door = Door::new(limits, watch::channel(Arc::new(Tuned::first(terms))).1, queue, Figures::new(&[]));
+    let one = guest(0, 0.0, None);
+    tokio::spawn(async move {
+        door.serve(TcpStream::from_std(stream)?, one).await;
+        std::io::Result::Ok(())
+    });
+    let Some(News::Arrival(arrival)) = news.recv().await else { panic!("no job") };
+    let body = Bytes::from(vec![b'x'; LENGTH]);
+    let delivery = crate::messages::Delivery { headers: Default::default(), body, flow: None };
+    arrival.answer.send(crate::messages::Answer::Fulfilled(delivery)).expect("a client that waits");
+    let read = tokio::task::spawn_blocking(move || {
+        std::thread::sleep(Duration::from_millis(400));
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).map(|_| answer.len())
+    });
+    assert!(read.await.expect("read")? > LENGTH);
+    Ok(())
+}
+
+#[test_case(7, 9 => Vec::<usize>::new() ; "nobody where there is room")]
+#[test_case(6, 9 => vec![3] ; "who never asked first")]
+#[test_case(3, 9 => vec![3, 1, 2] ; "then who asked once, the longest idle first")]
+#[test_case(2, 6 => vec![3, 1, 2, 0] ; "who comes back where all places are taken")]
+fn who_leaves_for_others(kept: usize, places: usize) -> Vec<usize> {
+    let limits = Limits {
+        clients_kept: kept,
+        clients_most: places,
+        client_unended: Duration::from_secs(9),
+        ..limits()
+    };
+    let mut guests = vec![guest(9, 5.0, None), guest(1, 4.0, None), guest(1, 3.0, None), guest(0, 1.0, None)];
+    // With its first request under way, and with one in hand.
+    guests.extend([guest(0, 0.2, Some(0.2)), guest(9, 4.0, None)]);
+    guests[5].busy.store(true, Ordering::Relaxed);
+    let chosen = who_gives_way(guests.iter(), &limits);
+    let place = |one: &Guest| guests.iter().position(|guest| std::ptr::eq(guest.as_ref(), one));
+    chosen.into_iter().filter_map(place).collect()
+}
--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -3,7 +3,8 @@
 
 use crate::limits::Limits;
 use crate::log;
-use crate::roster::{self, RosterNews};
+use crate::messages::RosterNews;
+use crate::roster;
 use merlinreel_settings::{Paths, Terms};
 use serde::Deserialize;
 use std::collections::HashSet;
--- a/crates/merlinreel/src/decode.rs
+++ b/crates/merlinreel/src/decode.rs
@@ -1,7 +1,7 @@
 //! What a client sent as a job, and an answer as the client gets it.
 
-use crate::driver::Answer;
 use crate::flow::Reply;
+use crate::messages::Answer;
 use http_body_util::{Either, Full};
 use hyper::body::Bytes;
 use hyper::header::{
--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -1,14 +1,11 @@
 //! The one task that owns the module. All else reaches it by its queue: it takes what waits there into
 //! one round, carries the decisions out in order, and sleeps until there is news or a wake is due.
 
-use crate::claims::Claim;
 use crate::figures::Figures;
 use crate::log;
+use crate::messages::{Answer, Arrival, News, Parcel, RosterNews, TripNews, Tuned};
 use crate::peers::Post;
-use crate::roster::RosterNews;
 use crate::servers::{Errand, Link, Servers};
-use hyper::body::Bytes;
-use hyper::{HeaderMap, Method, Uri};
 use merlinreel_core::decide::Limiter;
 use merlinreel_core::*;
 use merlinreel_settings::Terms;
@@ -38,75 +35,6 @@
     }
 }
 
-/// What a client sent and a server is to get, whatever the protocol that brought it.
-#[derive(Debug)]
-pub struct Parcel {
-    pub method: Method,
-    pub uri: Uri,
-    /// End-to-end headers only.
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    /// Its id and its place among the bodies in hand, given back with it.
-    pub claim: Option<Claim>,
-}
-
-/// A server's good answer.
-#[derive(Debug)]
-pub struct Delivery {
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    /// A long body that goes on as it comes, in `body`'s place.
-    pub flow: Option<Box<crate::flow::Flow>>,
-}
-
-#[derive(Debug)]
-pub enum Answer {
-    Fulfilled(Delivery),
-    Deferred(Option<Duration>),
-    Scrapped,
-}
-
-/// A job that a client's connection took whole.
-#[derive(Debug)]
-pub struct Arrival {
-    /// Names it until it has its answer.
-    pub ticket: u64,
-    /// Its index and the time left are filled in by the driver.
-    pub job: Job,
-    /// When the client gives up.
-    pub until: Instant,
-    pub parcel: Parcel,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// How a trip ended.
-#[derive(Debug)]
-pub struct TripNews {
-    pub serial: u64,
-    pub ending: Ending,
-    pub took: Duration,
-    pub units: Option<f64>,
-    pub load: Load,
-    pub delivery: Option<Delivery>,
-    /// Its connection can carry another trip.
-    pub reusable: bool,
-}
-
-#[derive(Debug)]
-pub enum News {
-    Arrival(Box<Arrival>),
-    /// The client of this ticket has left.
-    Left(u64),
-    Trip(TripNews),
-    Probe(ProbeAnswer),
-    Roster(RosterNews),
-    Letter(Letter),
-    /// Settings read again, found sound.
-    Retune(Box<Terms>),
-}
-
-pub type Queue = mpsc::Sender<News>;
-
 /// A trip that is out: of which job, which number, where, and by which connection.
 struct Out {
     job: u32,
@@ -146,19 +74,6 @@
     now: Instant,
 }
 
-/// The settings in force at the door, and each of their classes' index in the module.
-#[derive(Debug)]
-pub struct Tuned {
-    pub terms: Terms,
-    pub indices: Vec<usize>,
-}
-
-impl Tuned {
-    pub fn first(terms: Terms) -> Tuned {
-        Tuned { indices: (0..terms.categories.len()).collect(), terms }
-    }
-}
-
 pub struct Driver {
     limiter: Limiter,
     figures: Arc<Figures>,
@@ -461,6 +376,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::messages::Queue;
 
     #[test]
     fn the_clock_is_unix_time_and_only_runs_forward() {
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod flow;
 pub mod limits;
 pub mod log;
+pub mod messages;
 pub mod ops;
 pub mod peers;
 pub mod roster;
@@ -88,7 +89,7 @@
     };
     let version = known.as_ref().map(|known| known.version);
     let servers = servers::Servers::new(limits.clone(), &terms, queue.clone(), figures.clone());
-    let (tune, tuned) = watch::channel(Arc::new(driver::Tuned::first(terms.clone())));
+    let (tune, tuned) = watch::channel(Arc::new(messages::Tuned::first(terms.clone())));
     let driver =
         driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock, figures.clone()).tells(tune);
     let mut driving = tokio::spawn(driver.run(known, news));
@@ -98,7 +99,7 @@
     others.push(tokio::spawn(async move {
         while tunes.changed().await.is_ok() {
             let terms = tunes.borrow_and_update().clone();
-            if retuning.send(driver::News::Retune(Box::new(terms))).await.is_err() {
+            if retuning.send(messages::News::Retune(Box::new(terms))).await.is_err() {
                 return;
             }
         }
--- /dev/null
+++ b/crates/merlinreel/src/messages.rs
@@ -0,0 +1,114 @@
+//! What passes between the driver and the tasks round it. Nothing here knows who sends or takes it, so that no task
+//! needs the driver's own module, nor another's.
+
+use crate::claims::Claim;
+use crate::flow::Flow;
+use hyper::body::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use merlinreel_core::{Ending, Job, Letter, Load, ProbeAnswer, Standing};
+use merlinreel_settings::Terms;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// What a client sent and a server is to get, whatever the protocol that brought it.
+#[derive(Debug)]
+pub struct Parcel {
+    pub method: Method,
+    pub uri: Uri,
+    /// End-to-end headers only.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Its id and its place among the bodies in hand, given back with it.
+    pub claim: Option<Claim>,
+}
+
+/// A server's good answer.
+#[derive(Debug)]
+pub struct Delivery {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// A long body that goes on as it comes, in `body`'s place.
+    pub flow: Option<Box<Flow>>,
+}
+
+#[derive(Debug)]
+pub enum Answer {
+    Fulfilled(Delivery),
+    Deferred(Option<Duration>),
+    Scrapped,
+}
+
+/// A job that a client's connection took whole.
+#[derive(Debug)]
+pub struct Arrival {
+    /// Names it until it has its answer.
+    pub ticket: u64,
+    /// Its index and the time left are filled in by the driver.
+    pub job: Job,
+    /// When the client gives up.
+    pub until: Instant,
+    pub parcel: Parcel,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// How a trip ended.
+#[derive(Debug)]
+pub struct TripNews {
+    pub serial: u64,
+    pub ending: Ending,
+    pub took: Duration,
+    pub units: Option<f64>,
+    pub load: Load,
+    pub delivery: Option<Delivery>,
+    /// Its connection can carry another trip.
+    pub reusable: bool,
+}
+
+#[derive(Debug)]
+pub enum News {
+    Arrival(Box<Arrival>),
+    /// The client of this ticket has left.
+    Left(u64),
+    Trip(TripNews),
+    Probe(ProbeAnswer),
+    Roster(RosterNews),
+    Letter(Letter),
+    /// Settings read again, found sound.
+    Retune(Box<Terms>),
+}
+
+pub type Queue = mpsc::Sender<News>;
+
+/// A message of discovery, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RosterNews {
+    pub version: u64,
+    pub whole: bool,
+    pub servers: Vec<Listed>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub cell: u32,
+    pub standing: Standing,
+    pub weight: f64,
+    /// Unix time.
+    pub up_since: Option<Duration>,
+}
+
+/// The settings in force at the door, and each of their classes' index in the module.
+#[derive(Debug)]
+pub struct Tuned {
+    pub terms: Terms,
+    pub indices: Vec<usize>,
+}
+
+impl Tuned {
+    pub fn first(terms: Terms) -> Tuned {
+        Tuned { indices: (0..terms.categories.len()).collect(), terms }
+    }
+}
--- a/crates/merlinreel/src/peers.rs
+++ b/crates/merlinreel/src/peers.rs
@@ -1,7 +1,7 @@
 //! Letters between limiters: datagrams, known by the address they come from.
 
-use crate::driver::{News, Queue};
 use crate::log;
+use crate::messages::{News, Queue};
 use merlinreel_core::Letter;
 use merlinreel_core::letter::MOST_BYTES;
 use std::collections::HashMap;
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -1,8 +1,8 @@
 //! The roster: watches discovery, and decodes what it tells. Silence keeps the list.
 
-use crate::driver::{News, Queue};
 use crate::limits::Limits;
 use crate::log;
+use crate::messages::{Listed, News, Queue, RosterNews};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -43,26 +43,6 @@
     started_at_ms: u64,
 }
 
-/// The same, checked.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RosterNews {
-    pub version: u64,
-    pub whole: bool,
-    pub servers: Vec<Listed>,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
-    pub name: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub cell: u32,
-    pub standing: Standing,
-    pub weight: f64,
-    /// Unix time.
-    pub up_since: Option<Duration>,
-}
-
 impl TryFrom<Message> for RosterNews {
     type Error = String;
 
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -2,12 +2,11 @@
 //! trip at a time; nothing is ever sent again by itself.
 
 use crate::answers::Room;
-use crate::driver::{Delivery, News, Parcel, Queue, TripNews};
 use crate::figures::{Figures, class_of};
 use crate::flow::Flow;
 use crate::limits::Limits;
 use crate::log;
-use crate::roster::RosterNews;
+use crate::messages::{Delivery, News, Parcel, Queue, RosterNews, TripNews};
 use crate::stream::{Tallied, Tally};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::{Body, Bytes, SizeHint};
@@ -708,7 +707,7 @@
     fn list(address: SocketAddr, standing: Standing) -> RosterNews {
         let (name, zone) = ("s-1".to_owned(), "a".to_owned());
         let listed =
-            crate::roster::Listed { name, address, zone, cell: 0, standing, weight: 1.0, up_since: None };
+            crate::messages::Listed { name, address, zone, cell: 0, standing, weight: 1.0, up_since: None };
         RosterNews { version: 1, whole: true, servers: vec![listed] }
     }
 
