Stops tell the closing in answers and take what waits; starts wait for the agent's word

Lines at fault: Door::finish closed every connection that rested, and one with half a head, at one moment (graceful_shutdown in serve); attend dropped the listener with connections waiting, which the kernel resets; accept took a stream and then waited for room in the queue, and was dropped there by the stop's select. Ruled out: the driver and servers, all of which answered.

Change: clients/stop.rs. Once 0.5 to 0.7 s are over each answer says Connection: close; a connection is closed only after 0.2 s of rest (0.4 s before its first request), never with part of a request there; all that waits on the socket is taken before it goes; a seat is had before a connection is accepted; jobs that come late end before the kill. A process takes jobs once discovery answered, after 0.25 s at the latest. Behind a broken watch discovery is asked for an answer at once: four broken in a row take 5.4 s of the 6 s, before it was two. SIGHUP with the same address, or a file turned down, no longer drops the open watch (a test's rare failure showed it).

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -3,6 +3,7 @@
 mod guest;
 mod hand;
 mod intake;
+mod stop;
 #[cfg(test)]
 mod tests;
 
@@ -15,18 +16,18 @@
 use guest::{Guest, lock, who_gives_way};
 use hand::Flowing;
 use http_body_util::Either;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// What all clients' connections share.
 pub struct Door {
@@ -35,7 +36,12 @@
     tuned: watch::Receiver<Arc<Tuned>>,
     queue: Queue,
     tickets: AtomicU64,
-    stopping: AtomicBool,
+    /// Whether jobs were taken yet.
+    opened: AtomicBool,
+    /// When the stop was asked for.
+    asked: OnceLock<Instant>,
+    /// From some time after that on: answers tell that their connection closes.
+    closing: AtomicBool,
     in_hand: AtomicUsize,
     claims: Claims,
     guests: Mutex<HashMap<u64, Arc<Guest>>>,
@@ -56,7 +62,9 @@
             tuned,
             queue,
             tickets: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
+            opened: AtomicBool::new(false),
+            asked: OnceLock::new(),
+            closing: AtomicBool::new(false),
             in_hand: AtomicUsize::new(0),
             guests: Mutex::new(HashMap::new()),
         })
@@ -78,121 +86,12 @@
 
     /// Whether jobs are taken: from the start to the stop.
     pub fn serves(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Takes connections until the stop, serves on while they come, and returns once nothing is in hand. A socket
-    /// that was `handed` down stays open elsewhere, in the process that follows: it is let go of at the stop.
-    pub async fn attend(
-        self: Arc<Door>,
-        listener: TcpListener,
-        handed: bool,
-        stop: impl Future<Output = ()>,
-    ) {
-        let places = Arc::new(Semaphore::new(self.limits.clients_most));
-        tokio::pin!(stop);
-        tokio::select! {
-            () = self.accept(&listener, &places) => {}
-            () = &mut stop => {}
-        }
-        if handed {
-            // Guards against taking connections that the next process would serve, up to the end: what waits on
-            // the socket stays there for it.
-            log!("asked to stop: the socket is the next process's, finishing what is in hand");
-            self.stopping.store(true, Ordering::Relaxed);
-            drop(listener);
-            return self.finish(Instant::now()).await;
-        }
-        log!("asked to stop: serving on for a moment, then finishing what is in hand");
-        self.stopping.store(true, Ordering::Relaxed);
-        let (least, most) = (self.limits.stop_least, self.limits.stop_most);
-        let asked = Instant::now();
-        tokio::select! {
-            () = self.accept(&listener, &places) => {}
-            () = sleep(most) => {}
-            () = async {
-                sleep(least).await;
-                self.quiet(asked).await;
-            } => {}
-        }
-        // From here on connections are closed between requests; new ones are served once, for a while.
-        let finished = self.finish(asked);
-        tokio::pin!(finished);
-        tokio::select! {
-            () = self.accept(&listener, &places) => {}
-            () = sleep(self.limits.stop_late) => {}
-            () = &mut finished => return,
-        }
-        drop(listener);
-        finished.await;
-    }
-
-    /// Closes connections between requests until nothing is in hand.
-    async fn finish(&self, asked: Instant) {
-        loop {
-            lock(&self.guests).values().for_each(|guest| guest.close.notify_one());
-            // Nor while the rest of an answer waits for a client that reads slowly.
-            let held_up = lock(&self.guests).values().any(|guest| lock(&guest.times).held_up(&self.limits));
-            let in_hand = held_up || self.in_hand.load(Ordering::Relaxed) > 0;
-            if !in_hand && self.idle_for(asked) >= self.limits.stop_quiet {
-                return;
-            }
-            sleep(self.limits.stop_quiet / 10).await;
-        }
-    }
-
-    /// How long nobody has come or asked for anything.
-    fn idle_for(&self, since: Instant) -> Duration {
-        let guests = lock(&self.guests);
-        let last = guests.values().map(|guest| {
-            let times = lock(&guest.times);
-            times.heard.unwrap_or(times.idle)
-        });
-        let last = last.max().map_or(since, |at| at.max(since));
-        last.elapsed()
-    }
-
-    async fn quiet(&self, since: Instant) {
-        while self.idle_for(since) < self.limits.stop_quiet {
-            sleep(self.limits.stop_quiet / 10).await;
-        }
-    }
-
-    async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
-        loop {
-            // Idle connections must not hold all places: looked at before the wait for one, and during it.
-            self.make_room();
-            let Ok(place) = timeout(self.limits.client_settled, places.clone().acquire_owned()).await else {
-                log!("clients: all {} places are taken; new connections wait", self.limits.clients_most);
-                continue;
-            };
-            let Ok(place) = place else { return };
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log!("clients: {error}");
-                    sleep(Duration::from_millis(10)).await;
-                    continue;
-                }
-            };
-            // Its leaving must find room in the queue, whatever else waits there.
-            let Ok(leaving) = self.queue.clone().reserve_owned().await else { return };
-            let guest = Arc::new(Guest::new(leaving));
-            let number = self.tickets.fetch_add(1, Ordering::Relaxed);
-            lock(&self.guests).insert(number, guest.clone());
-            let door = self.clone();
-            tokio::spawn(async move {
-                door.serve(stream, guest).await;
-                lock(&door.guests).remove(&number);
-                drop(place);
-            });
-        }
+        self.opened.load(Ordering::Relaxed) && self.asked.get().is_none()
     }
 
     fn make_room(&self) {
         for guest in who_gives_way(lock(&self.guests).values(), &self.limits) {
-            guest.evicted.store(true, Ordering::Relaxed);
-            guest.close.notify_one();
+            guest.evict();
         }
     }
 
@@ -211,6 +110,11 @@
                     Either::Left(_) if !up => door.figures.answered(&class, Outcome::of(status)),
                     Either::Left(_) => {}
                 }
+                // The closing is told where an answer goes out: guards requests against crossing the end of their
+                // connection, which their client can only send again.
+                if door.closing.load(Ordering::Relaxed) || guest.evicted.load(Ordering::Relaxed) {
+                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -237,8 +141,9 @@
                         }
                         return;
                     }
+                    // What came has its answer, which tells the closing; asked to shut down, the library would end
+                    // a connection that holds half a head.
                     leaving = false;
-                    connection.as_mut().graceful_shutdown();
                 }
                 () = &mut idle, if !leaving => {
                     let (now, due) = (Instant::now(), guest.due(&self.limits));
@@ -252,12 +157,8 @@
                 }
                 () = &mut close, if !closing => {
                     closing = true;
-                    if guest.evicted.load(Ordering::Relaxed) {
-                        leaving = true;
-                        turn.as_mut().reset(soon());
-                        continue;
-                    }
-                    connection.as_mut().graceful_shutdown();
+                    leaving = true;
+                    turn.as_mut().reset(soon());
                 }
             }
         }
--- a/crates/merlinreel/src/clients/guest.rs
+++ b/crates/merlinreel/src/clients/guest.rs
@@ -35,6 +35,11 @@
     pub fn held_up(&self, limits: &Limits) -> bool {
         self.held_up.is_some_and(|since| since.elapsed() < limits.client_idle)
     }
+
+    /// When it was last in use.
+    pub fn last(&self) -> Instant {
+        self.heard.unwrap_or(self.idle)
+    }
 }
 
 impl Guest {
@@ -75,6 +80,23 @@
         !self.busy.load(Ordering::Relaxed) && times.heard.unwrap_or(times.idle).elapsed() >= settled
     }
 
+    /// Whether a stop may close it: nothing is in hand, no part of a request is there, no answer waits to be read,
+    /// and it was quiet for a while, twice as long where its first request is still to come.
+    pub fn may_go(&self, limits: &Limits) -> bool {
+        let first = self.requests.load(Ordering::Relaxed) == 0;
+        let times = lock(&self.times);
+        times.heard.is_none()
+            && !self.busy.load(Ordering::Relaxed)
+            && !times.held_up(limits)
+            && times.idle.elapsed() >= limits.stop_quiet * if first { 2 } else { 1 }
+    }
+
+    /// Has it close, unless something comes meanwhile.
+    pub fn evict(&self) {
+        self.evicted.store(true, Ordering::Relaxed);
+        self.close.notify_one();
+    }
+
     /// Who gives way first: who never asked, then who asked once, then the others, the longest idle before.
     /// Guards those that come back against crowds that stay.
     pub fn rank(&self) -> (usize, Instant) {
--- a/crates/merlinreel/src/clients/intake.rs
+++ b/crates/merlinreel/src/clients/intake.rs
@@ -23,8 +23,7 @@
         // The client's time runs from its sending: this is the earliest that is known of it here.
         let sent = Instant::now();
         if request.uri().path() == "/up" {
-            let ready = !self.stopping.load(Ordering::Relaxed);
-            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            let status = if self.serves() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return respond(status, String::new()).map(Either::Left);
         }
         // The whole request must be there by then, whatever time the client claims to have.
@@ -40,7 +39,10 @@
             return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()))
                 .map(Either::Left);
         }
-        self.job(job, parcel, sent + job.time_left, guest).await
+        // A stop has its own end: what comes late has its answer by then.
+        let until = sent + job.time_left;
+        let until = self.stops_at().map_or(until, |end| until.min(end));
+        self.job(job, parcel, until, guest).await
     }
 
     /// The whole of a request, or what is wrong with it. Until it is there nothing is taken, so that one that is
--- /dev/null
+++ b/crates/merlinreel/src/clients/stop.rs
@@ -0,0 +1,172 @@
+//! Clients' connections taken, and the planned stop. After the signal clients send on every connection that stays
+//! open, and new ones come for a while. So the stop goes in steps: it serves on as before; then each answer tells
+//! that its connection closes, and connections that are quiet are closed between requests; then the socket is let
+//! go of, with all that waited on it taken first; and the limiter ends once nobody is left.
+
+use super::Door;
+use super::guest::{Guest, lock};
+use crate::log;
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{sleep, timeout};
+
+/// What a new connection needs before it is taken, so that none is dropped half way: a place, and room in the queue
+/// for the news that its client left, whatever else waits there.
+type Seat = (OwnedSemaphorePermit, mpsc::OwnedPermit<crate::messages::News>);
+
+impl Door {
+    /// When the last job has its answer, once the stop was asked for.
+    pub(super) fn stops_at(&self) -> Option<Instant> {
+        self.asked.get().map(|&asked| asked + self.limits.stop_end)
+    }
+
+    /// Takes connections until the stop, serves on while they come, and returns once nobody is left. A socket that
+    /// was `handed` down stays open elsewhere, in the process that follows: it is let go of at the stop.
+    pub async fn attend(
+        self: Arc<Door>,
+        listener: TcpListener,
+        handed: bool,
+        stop: impl Future<Output = ()>,
+    ) {
+        let places = Arc::new(Semaphore::new(self.limits.clients_most));
+        self.opened.store(true, Ordering::Relaxed);
+        tokio::pin!(stop);
+        tokio::select! {
+            () = self.accept(&listener, &places) => {}
+            () = &mut stop => {}
+        }
+        let asked = *self.asked.get_or_init(Instant::now);
+        if handed {
+            // Guards against taking connections that the next process would serve, up to the end: what waits on
+            // the socket stays there for it.
+            log!("asked to stop: the socket is the next process's, finishing what is in hand");
+            drop(listener);
+            self.closing.store(true, Ordering::Relaxed);
+            return self.empty(Duration::ZERO).await;
+        }
+        log!("asked to stop: serving on for a moment, then finishing what is in hand");
+        let (least, most) = (self.limits.stop_least, self.limits.stop_most);
+        tokio::select! {
+            () = self.accept(&listener, &places) => {}
+            () = sleep(most) => {}
+            () = async {
+                sleep(least).await;
+                self.quiet(asked).await;
+            } => {}
+        }
+        self.closing.store(true, Ordering::Relaxed);
+        tokio::select! {
+            () = self.accept(&listener, &places) => {}
+            () = sleep(self.limits.stop_late) => {}
+            () = self.empty(self.limits.stop_quiet) => {}
+        }
+        if let Err(error) = self.take_waiting(listener, &places).await {
+            log!("clients: connections that wait can't be taken at the stop: {error}");
+        }
+        self.empty(Duration::ZERO).await;
+    }
+
+    /// Has connections close between requests until none is left, and none has come for `quiet`; once the stop's
+    /// time is over, until nothing is in hand.
+    async fn empty(&self, quiet: Duration) {
+        let mut since = Instant::now();
+        loop {
+            let (mut left, mut bound) = (false, self.in_hand() > 0);
+            for guest in lock(&self.guests).values() {
+                left = true;
+                if guest.may_go(&self.limits) {
+                    guest.evict();
+                }
+                // Nor while the rest of an answer waits for a client that reads slowly.
+                bound |= lock(&guest.times).held_up(&self.limits);
+            }
+            let over = self.stops_at().is_some_and(|end| end <= Instant::now());
+            if left && (bound || !over) {
+                since = Instant::now();
+            } else if since.elapsed() >= quiet {
+                return;
+            }
+            sleep(self.limits.stop_quiet / 20).await;
+        }
+    }
+
+    /// Returns once nobody has come or asked for anything for a while.
+    async fn quiet(&self, since: Instant) {
+        loop {
+            let last = lock(&self.guests).values().map(|guest| lock(&guest.times).last()).max();
+            if last.map_or(since, |at| at.max(since)).elapsed() >= self.limits.stop_quiet {
+                return;
+            }
+            sleep(self.limits.stop_quiet / 10).await;
+        }
+    }
+
+    async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
+        loop {
+            let Some(seat) = self.seat(places).await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream, seat),
+                Err(error) => {
+                    log!("clients: {error}");
+                    sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    /// Takes all connections that wait on the socket, then lets go of it. Guards them against the end of the
+    /// socket: the kernel resets what waits there, the requests on it unread.
+    pub(super) async fn take_waiting(
+        self: &Arc<Door>,
+        listener: TcpListener,
+        places: &Arc<Semaphore>,
+    ) -> io::Result<()> {
+        // Asked of the kernel itself: the poller may not have told of the last ones yet.
+        let listener = listener.into_std()?;
+        while let Some(seat) = self.seat(places).await {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.admit(TcpStream::from_std(stream)?, seat);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// A seat for the next connection, once there is one; none where the driver has ended.
+    async fn seat(&self, places: &Arc<Semaphore>) -> Option<Seat> {
+        let place = loop {
+            // Idle connections must not hold all places: looked at before the wait for one, and during it.
+            self.make_room();
+            match timeout(self.limits.client_settled, places.clone().acquire_owned()).await {
+                Ok(place) => break place.ok()?,
+                Err(_) => {
+                    log!("clients: all {} places are taken; new connections wait", self.limits.clients_most)
+                }
+            }
+        };
+        Some((place, self.queue.clone().reserve_owned().await.ok()?))
+    }
+
+    /// Serves a connection in a task of its own.
+    fn admit(self: &Arc<Door>, stream: TcpStream, (place, leaving): Seat) {
+        let guest = Arc::new(Guest::new(leaving));
+        let number = self.tickets.fetch_add(1, Ordering::Relaxed);
+        lock(&self.guests).insert(number, guest.clone());
+        let door = self.clone();
+        tokio::spawn(async move {
+            door.serve(stream, guest).await;
+            lock(&door.guests).remove(&number);
+            drop(place);
+        });
+    }
+}
--- a/crates/merlinreel/src/clients/tests.rs
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -38,9 +38,10 @@
     let asked = guest(0, 1.0, None);
     asked.evicted.store(true, Ordering::Relaxed);
     asked.close.notify_one();
-    Door::new(limits(), watch::channel(Arc::new(Tuned::first(terms()))).1, queue, Figures::new(&[]))
-        .serve(TcpStream::from_std(stream)?, asked)
-        .await;
+    let door =
+        Door::new(limits(), watch::channel(Arc::new(Tuned::first(terms()))).1, queue, Figures::new(&[]));
+    door.opened.store(true, Ordering::Relaxed);
+    door.serve(TcpStream::from_std(stream)?, asked).await;
     let mut answer = String::new();
     client.read_to_string(&mut answer)?;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -114,3 +115,43 @@
     let place = |one: &Guest| guests.iter().position(|guest| std::ptr::eq(guest.as_ref(), one));
     chosen.into_iter().filter_map(place).collect()
 }
+
+/// Connections that wait on the socket as it is let go of, their requests with them, are taken and answered. Guards
+/// them against the socket's end, at which the kernel resets all that was never accepted.
+#[tokio::test]
+async fn what_waits_on_the_socket_is_taken_before_it_goes() -> std::io::Result<()> {
+    use std::io::{Read, Write};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let mut clients = Vec::new();
+    for _ in 0..20 {
+        let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+        client.write_all(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")?;
+        clients.push(client);
+    }
+    let (queue, _news) = mpsc::channel(64);
+    let door =
+        Door::new(limits(), watch::channel(Arc::new(Tuned::first(terms()))).1, queue, Figures::new(&[]));
+    door.take_waiting(listener, &Arc::new(tokio::sync::Semaphore::new(64))).await?;
+    while !lock(&door.guests).is_empty() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    for mut client in clients {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer)?;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    Ok(())
+}
+
+/// Asked of 5 s ago, or of 0.3 s ago, with so many requests behind it; or with part of one there, or in hand.
+#[test_case(2, 5.0, None, false => true ; "it was quiet")]
+#[test_case(2, 0.1, None, false => false ; "just used")]
+#[test_case(0, 0.3, None, false => false ; "its first request may come")]
+#[test_case(0, 0.5, None, false => true ; "its first one never came")]
+#[test_case(2, 5.0, Some(1.0), false => false ; "half a request")]
+#[test_case(2, 5.0, None, true => false ; "in hand")]
+fn a_stop_closes_between_requests(requests: usize, idle: f64, heard: Option<f64>, busy: bool) -> bool {
+    let one = guest(requests, idle, heard);
+    one.busy.store(busy, Ordering::Relaxed);
+    one.may_go(&limits())
+}
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -23,8 +23,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// Guards against a limiter that takes jobs and decides nothing: where the driver ends first, all does, to be
 /// started again.
@@ -93,7 +94,9 @@
     let driver =
         driver::Driver::new(terms.limiter(seed), servers, post.clone(), clock, figures.clone()).tells(tune);
     let mut driving = tokio::spawn(driver.run(known, news));
-    let mut others = vec![tokio::spawn(roster::watch(discovery, version, limits.clone(), queue.clone()))];
+    let (told, first) = oneshot::channel();
+    let watching = roster::watch(discovery, version, limits.clone(), queue.clone(), told);
+    let mut others = vec![tokio::spawn(watching)];
     others.extend(post.map(|post| tokio::spawn(post.receive(queue.clone()))));
     let retuning = queue.clone();
     others.push(tokio::spawn(async move {
@@ -107,6 +110,7 @@
     let at = listener.local_addr().map_or_else(|_| listen.to_string(), |at| at.to_string());
     log!("{name} takes jobs at {at}{}", if inherited { ", on the socket handed down" } else { "" });
     let door = clients::Door::new(limits.clone(), tuned, queue, figures.clone());
+    let first = timeout(limits.first_list, first);
     if let Some(at) = ops {
         let listener = TcpListener::bind(at).await.map_err(|error| named("ops", at, error))?;
         others.push(tokio::spawn(ops::attend(
@@ -115,7 +119,14 @@
             Arc::new(Told { door: door.clone(), figures }),
         )));
     }
-    let door = door.attend(listener, inherited, stop);
+    let door = async {
+        // What the agent holds counts as told from the first moment on: guards against trips to servers that left
+        // since `known` was written. Clients wait on the socket meanwhile, `/healthcheck` says no.
+        if first.await.is_err() {
+            log!("roster: no word from discovery; starting with the list as last held");
+        }
+        door.attend(listener, inherited, stop).await
+    };
     let ended = attended(door, &mut driving).await;
     others.iter().chain([&driving]).for_each(|task| task.abort());
     ended
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -44,11 +44,14 @@
     pub client_unended: Duration,
     /// Trips end so long before the client gives up, so that the answer is there in time.
     pub answer_margin: Duration,
-    /// How long a watch of the roster may wait, how long its answer may be late, how soon a failed call
-    /// is tried again.
+    /// How long a watch of the roster may wait, and where an answer is wanted at once; how long it may be late, how
+    /// soon a failed call is tried again.
     pub watch: Duration,
+    pub watch_again: Duration,
     pub watch_slack: Duration,
     pub watch_retry: Duration,
+    /// A new process waits so long for discovery's first answer before it takes jobs.
+    pub first_list: Duration,
     /// A probe unanswered for this long has failed.
     pub probe: Duration,
     /// After a stop is asked for: served on at least and at most so long while connections come, then each
@@ -58,6 +61,8 @@
     pub stop_most: Duration,
     pub stop_late: Duration,
     pub stop_quiet: Duration,
+    /// By then the last job has its answer, counted from the signal: well before the process is killed.
+    pub stop_end: Duration,
     /// Connections to the operators' door at once, and the time in which a call must be whole.
     pub ops_connections: usize,
     pub ops_call: Duration,
@@ -94,6 +99,7 @@
         let idle =
             if terms.wire.server_idle.is_zero() { Duration::from_secs(15) } else { terms.wire.server_idle };
         let connect = terms.wire.connect_within;
+        let longest = terms.categories.iter().map(|category| category.outer_limit).max().unwrap_or_default();
         Ok(Limits {
             // A quarter is kept for who comes and goes, and to tell newcomers that it is busy.
             clients: clients_most - clients_most / 4,
@@ -129,13 +135,19 @@
             answer_margin: Duration::from_millis(5),
             // The agent is near and asked at no cost: a call that has fallen silent must not hide changes for long.
             watch: Duration::from_secs(1),
+            watch_again: Duration::from_millis(10),
             watch_slack: Duration::from_millis(500),
             watch_retry: Duration::from_millis(100),
+            // The agent is on this machine and answers at once; one that is silent has nothing to tell for long, and
+            // fleets that are killed in an outage must be back soon.
+            first_list: Duration::from_millis(250),
             probe: Duration::from_millis(250),
             stop_least: Duration::from_millis(500),
             stop_most: Duration::from_millis(700),
             stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
+            // Killed no sooner than the longest outer limit, 3 s at least, and 0.7 s: a busy machine needs some of it.
+            stop_end: longest.max(Duration::from_secs(3)) + Duration::from_millis(300),
             // Callers who hold one and never call are owed nothing; enough for staff and their scrapers.
             ops_connections: 16,
             // Answers are owed within 1 s: a whole call comes within half of that from a caller who means it.
--- a/crates/merlinreel/src/main.rs
+++ b/crates/merlinreel/src/main.rs
@@ -40,6 +40,16 @@
     Ok(Some(listener))
 }
 
+/// Whether it was another. Guards the watch of the roster and the settings in force against a file read again that
+/// says what the one before did, or was turned down.
+fn replaced<T: Clone + PartialEq>(present: &mut T, new: &T) -> bool {
+    let other = present != new;
+    if other {
+        present.clone_from(new);
+    }
+    other
+}
+
 async fn run(handed: Option<std::net::TcpListener>) -> Result<(), String> {
     let of = |kind| signal(kind).map_err(|error| error.to_string());
     // Before all else: a signal that nobody listens for ends the program.
@@ -54,14 +64,8 @@
         while again.recv().await.is_some() {
             let taken = config::reread(&mut present, |name| std::env::var(name).ok());
             counted.reloaded(taken);
-            turn.send_replace(present.discovery);
-            tune.send_if_modified(|terms| {
-                let other = *terms != present.terms;
-                if other {
-                    *terms = present.terms.clone();
-                }
-                other
-            });
+            turn.send_if_modified(|at| replaced(at, &present.discovery));
+            tune.send_if_modified(|terms| replaced(terms, &present.terms));
         }
     });
     let stop = async move {
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -115,13 +115,16 @@
 }
 
 /// Watches without end, at the address that is told; where that changes, the open call is dropped and the
-/// other address is asked for the full list at once, as its versions may be others.
+/// other address is asked for the full list at once, as its versions may be others. `first` hears of the first answer,
+/// once the driver's queue has it.
 pub async fn watch(
     mut discovery: watch::Receiver<SocketAddr>,
     mut version: Option<u64>,
     limits: Limits,
     queue: Queue,
+    first: oneshot::Sender<()>,
 ) {
+    let mut first = Some(first);
     loop {
         let at = *discovery.borrow_and_update();
         tokio::select! {
@@ -129,25 +132,54 @@
             turned = discovery.changed() => match turned {
                 Ok(()) => version = None,
                 // Nobody is left to tell another.
-                Err(_) => return watch_at(at, version, &limits, &queue).await,
+                Err(_) => return watch_at(at, version, &limits, &queue, &mut first).await,
             },
-            () = watch_at(at, version, &limits, &queue) => {}
+            () = watch_at(at, version, &limits, &queue, &mut first) => {}
         }
     }
 }
 
+/// How a call is made: how long discovery may wait with its answer, and when a silent call counts as broken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Call {
+    wait: Duration,
+    late: Duration,
+}
+
+impl Call {
+    /// A watch waits, but not the first call of a process, nor one behind a call that broke: what is known there is
+    /// wanted at once. The more calls broke in a row, the longer the next may take, which guards a list that never
+    /// was there in time. What a silent watch misses counts as told 6 s after it fell silent: four calls that break
+    /// in a row leave 0.6 s of that.
+    fn next(limits: &Limits, watches: bool, first: bool, failed: u32) -> Call {
+        let wait = match (watches, first || failed > 0) {
+            (false, _) => Duration::ZERO,
+            (true, true) => limits.watch_again,
+            (true, false) => limits.watch,
+        };
+        Call { wait, late: wait + limits.watch_slack * 2u32.pow(failed.saturating_sub(1).min(2)) }
+    }
+}
+
 /// Each call follows the last answer at once, as a watch lapses where it does not; after a failure the list
 /// stands, and the next call comes soon, on a connection of its own.
-async fn watch_at(discovery: SocketAddr, mut version: Option<u64>, limits: &Limits, queue: &Queue) {
+async fn watch_at(
+    discovery: SocketAddr,
+    mut version: Option<u64>,
+    limits: &Limits,
+    queue: &Queue,
+    first: &mut Option<oneshot::Sender<()>>,
+) {
     let mut line = None;
     // Calls in a row that failed.
     let mut failed = 0;
     loop {
+        let call = Call::next(limits, version.is_some(), first.is_some(), failed);
         let path = match version {
-            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.watch.as_millis()),
+            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", call.wait.as_millis()),
             None => "/discovery/hosts".to_owned(),
         };
-        let call = async {
+        let answer = async {
             let mut at = match line.take() {
                 Some(line) => line,
                 None => dial(discovery, limits.connect).await?,
@@ -155,11 +187,7 @@
             let news = ask(&mut at, discovery, path, limits.roster).await?;
             Ok((at, news))
         };
-        // The full list comes at once, a watch's answer after its wait at the latest. Later ones are waited for
-        // longer: guards a list that never was there in time.
-        let late = limits.watch_slack * 2u32.pow(failed.min(2));
-        let late = late + version.map_or(Duration::ZERO, |_| limits.watch);
-        match timeout(late, call).await.unwrap_or_else(|_| Err("no answer".to_owned())) {
+        match timeout(call.late, answer).await.unwrap_or_else(|_| Err("no answer".to_owned())) {
             Ok((at, news)) => {
                 line = Some(at);
                 version = Some(news.version);
@@ -170,6 +198,7 @@
                 if !news.servers.is_empty() || news.whole {
                     let _ = queue.send(News::Roster(news)).await;
                 }
+                let _ = first.take().map(|first| first.send(()));
             }
             Err(what) => {
                 if failed == 0 {
@@ -205,6 +234,19 @@
         assert_eq!(news, Ok(RosterNews { version: 43, whole: false, servers: vec![listed] }));
     }
 
+    /// From a watch's falling silent, at worst as it begins, to the answer of a call that discovery takes: so many
+    /// calls break in a row, each after all of its time. Guards the clock of 6 s by which a change counts as told.
+    #[test_case(1 => true)]
+    #[test_case(4 => true)]
+    #[test_case(5 => false)]
+    fn an_answer_comes_within_the_list_s_clock(broken: u32) -> bool {
+        let paths = merlinreel_settings::Paths::from_json(&serde_json::json!({}));
+        let terms = paths.and_then(|paths| merlinreel_settings::Terms::read(&paths)).expect("sound");
+        let limits = Limits::new(1024, 192, &terms).expect("room");
+        let each = |failed| Call::next(&limits, true, false, failed).late + limits.watch_retry;
+        (0..broken).map(each).sum::<Duration>() + limits.watch_again < Duration::from_millis(5500)
+    }
+
     #[test_case(r#"{"reset":true}"#, "missing field `generation`" ; "no version")]
     #[test_case(r#"{"generation":1,"instances":[{"instanceId":"s","hostPort":"x","lifecycle":"up"}]}"#,
         "instances[0].hostPort: 'x'" ; "no address")]
--- a/crates/merlinreel/tests/support/mod.rs
+++ b/crates/merlinreel/tests/sockets/support/mod.rs
@@ -161,7 +161,8 @@
 /// A configuration: three categories, a plan that holds ten units and hardly refills, one limiter.
 pub fn config(servers: &[Value]) -> Value {
     let listen = free_address();
-    json!({"listen": listen.to_string(), "discovery": free_address().to_string(), "seed": "8c1f30d27a5be964",
+    // Nobody's: a free port might be the next test's server, which would be asked for lists.
+    json!({"listen": listen.to_string(), "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
         "limits": {"memory_mb": 192, "sockets": 256}, "known": roster(1, true, servers),
         "settings": {"balancers": 1, "rank": 0, "zone": 0, "dcs": ["a"], "packages": [
                 {"name": "team", "unitsPerS": 0.1, "mostAtOnce": 10.0, "price": 1.0}],
