The stop's end follows the shortest time to a kill: a job taken late was in hand at it

Limits::stop_end read "the longest deadline (taken as 3 s where longer)" as at least 3 s; it is at most 3 s, so with shorter outer limits the kill comes sooner. Ruled out: the clients' side, the request was in hand and its client waited.

Change: stop_end is the longest outer limit, 3 s at most, and 0.3 s of the 0.7; the listener is let go of 0.2 s before.

--- a/crates/merlinreel/src/clients/stop.rs
+++ b/crates/merlinreel/src/clients/stop.rs
@@ -60,9 +60,12 @@
             } => {}
         }
         self.closing.store(true, Ordering::Relaxed);
+        // Short of the end, so that what is taken last has its answer.
+        let shuts = asked + self.limits.stop_end.saturating_sub(self.limits.stop_quiet);
+        let late = self.limits.stop_late.min(shuts.saturating_duration_since(Instant::now()));
         tokio::select! {
             () = self.accept(&listener, &places) => {}
-            () = sleep(self.limits.stop_late) => {}
+            () = sleep(late) => {}
             () = self.empty(self.limits.stop_quiet) => {}
         }
         if let Err(error) = self.take_waiting(listener, &places).await {
--- a/crates/merlinreel/src/clients/tests.rs
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -25,6 +25,16 @@
     Limits::new(1024, 192, &terms()).expect("room")
 }
 
+/// One category, whose clients wait for up to 9 s.
+fn looking() -> Terms {
+    let settings = serde_json::json!({"packages": [{"name": "team"}], "balancers": 1, "classes":
+        [{"name": "look", "idempotency": "read_like", "hardLimitS": 9}]});
+    Paths::from_json(&settings).and_then(|paths| Terms::read(&paths)).expect("sound")
+}
+
+const LOOK: &[u8] = b"GET /look?key=7 HTTP/1.1\r\nX-Txn: 9b\r\nX-Lane: look\r\nX-Plan: team\r\n\
+    X-Remaining: 8000m\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n";
+
 /// Asked to give way, with a first request that came in unseen: it has its answer.
 #[tokio::test]
 async fn what_came_in_unseen_is_answered() -> std::io::Result<()> {
@@ -65,19 +75,15 @@
 async fn a_slow_reader_gets_the_whole_of_its_answer() -> std::io::Result<()> {
     use std::io::{Read, Write};
     const LENGTH: usize = 24 << 20;
-    let settings = serde_json::json!({"packages": [{"name": "team"}], "balancers": 1, "classes":
-        [{"name": "look", "idempotency": "read_like", "hardLimitS": 9}]});
-    let terms = Paths::from_json(&settings).and_then(|paths| Terms::read(&paths)).expect("sound");
     let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
     let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
-    client.write_all(
-        b"GET /look?key=7 HTTP/1.1\r\nX-Txn: 9b\r\nX-Lane: look\r\nX-Plan: team\r\nX-Remaining: 8000m\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n",
-    )?;
+    client.write_all(LOOK)?;
     let (stream, _) = listener.accept()?;
     stream.set_nonblocking(true)?;
     let (queue, mut news) = mpsc::channel(9);
     let limits = Limits { client_whole: Duration::from_millis(40), ..limits() };
-    let door = Door::new(limits, watch::channel(Arc::new(Tuned::first(terms))).1, queue, Figures::new(&[]));
+    let door =
+        Door::new(limits, watch::channel(Arc::new(Tuned::first(looking()))).1, queue, Figures::new(&[]));
     let one = guest(0, 0.0, None);
     tokio::spawn(async move {
         door.serve(TcpStream::from_std(stream)?, one).await;
@@ -155,3 +161,26 @@
     one.busy.store(busy, Ordering::Relaxed);
     one.may_go(&limits())
 }
+
+/// A job taken after the signal ends before the process may be killed, whatever time its client has left: the
+/// longest outer limit, counted as 3 s at most, and 0.7 s after the signal. Guards it against being in hand then.
+#[tokio::test]
+async fn a_job_that_comes_late_ends_before_the_kill() -> std::io::Result<()> {
+    use std::io::Write;
+    let limits = Limits::new(1024, 192, &looking()).expect("room");
+    assert_eq!(limits.stop_end, Duration::from_millis(3300));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+    client.write_all(LOOK)?;
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    let (queue, mut news) = mpsc::channel(9);
+    let tuned = watch::channel(Arc::new(Tuned::first(looking()))).1;
+    let door = Door::new(limits.clone(), tuned, queue, Figures::new(&[]));
+    let asked = *door.asked.get_or_init(Instant::now);
+    let stream = TcpStream::from_std(stream)?;
+    tokio::spawn(async move { door.serve(stream, guest(0, 0.0, None)).await });
+    let Some(News::Arrival(arrival)) = news.recv().await else { panic!("no job") };
+    assert_eq!(arrival.until, asked + limits.stop_end);
+    Ok(())
+}
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -146,8 +146,8 @@
             stop_most: Duration::from_millis(700),
             stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
-            // Killed no sooner than the longest outer limit, 3 s at least, and 0.7 s: a busy machine needs some of it.
-            stop_end: longest.max(Duration::from_secs(3)) + Duration::from_millis(300),
+            // Killed no sooner than the longest outer limit, 3 s at most, and 0.7 s: a busy machine needs some of it.
+            stop_end: longest.min(Duration::from_secs(3)) + Duration::from_millis(300),
             // Callers who hold one and never call are owed nothing; enough for staff and their scrapers.
             ops_connections: 16,
             // Answers are owed within 1 s: a whole call comes within half of that from a caller who means it.
