Kept connections close before 0.7 s of a stop, and the kernel is asked before each closing

Change: answers tell the closing from 0.4 s on, connections that rested 0.1 s close from then on, all that rest at 0.62 s. Before a connection is dropped its stream is taken back from the library and the kernel asked; where bytes wait it is served on.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -29,6 +29,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+type Wire = TokioIo<Tallied<Guest>>;
+
 /// What all clients' connections share.
 pub struct Door {
     limits: Limits,
@@ -97,6 +99,15 @@
 
     async fn serve(self: &Arc<Door>, stream: TcpStream, guest: Arc<Guest>) {
         let _ = stream.set_nodelay(true);
+        let mut io = TokioIo::new(Tallied::new(stream, guest.clone()));
+        while let Some(back) = self.serve_on(io, &guest).await {
+            io = back;
+        }
+    }
+
+    /// Serves a connection until its end. Where it was to close and something had come, it is given back, to be
+    /// served on: the answer then tells the closing.
+    async fn serve_on(self: &Arc<Door>, io: Wire, guest: &Arc<Guest>) -> Option<Wire> {
         let service = service_fn(|request| {
             let (door, guest) = (self.clone(), guest.clone());
             async move {
@@ -118,28 +129,31 @@
                 Ok::<_, Infallible>(answer)
             }
         });
-        let connection = Builder::new()
+        let mut connection = Builder::new()
             .header_read_timeout(None)
             .max_buf_size(self.limits.head)
-            .serve_connection(TokioIo::new(Tallied::new(stream, guest.clone())), service);
-        let (close, turn) = (guest.close.notified(), sleep(Duration::ZERO));
+            .serve_connection(io, service);
+        let turn = sleep(Duration::ZERO);
         // One timer a connection that looks when it was last used costs less than one a request.
         let idle = sleep(self.limits.client_whole);
-        tokio::pin!(connection, close, turn, idle);
-        let (mut closing, mut leaving) = (false, false);
+        tokio::pin!(turn, idle);
+        let mut leaving = false;
         let soon = || tokio::time::Instant::now() + Duration::from_millis(1);
         loop {
             tokio::select! {
                 biased;
-                _ = connection.as_mut() => return,
+                _ = Pin::new(&mut connection) => return None,
                 // A request may have come in unseen: the poller gets a turn before it is dropped. Guards also
                 // against one that never sent anything: asked to close, it would stay.
                 () = &mut turn, if leaving => {
                     if guest.rests(&self.limits) {
                         if lock(&guest.times).heard.is_some() {
                             log!("clients: part of a request, not whole in time: the connection is closed");
+                            return None;
                         }
-                        return;
+                        // The kernel is asked last: what came since the poller looked must not meet the end.
+                        let io = connection.into_parts().io;
+                        return io.inner().waits().then_some(io);
                     }
                     // What came has its answer, which tells the closing; asked to shut down, the library would end
                     // a connection that holds half a head.
@@ -155,8 +169,7 @@
                     let next = now + self.limits.client_whole / 4;
                     idle.as_mut().reset(if due > now { due.min(next) } else { next }.into());
                 }
-                () = &mut close, if !closing => {
-                    closing = true;
+                () = guest.close.notified(), if !leaving => {
                     leaving = true;
                     turn.as_mut().reset(soon());
                 }
--- a/crates/merlinreel/src/clients/guest.rs
+++ b/crates/merlinreel/src/clients/guest.rs
@@ -35,11 +35,6 @@
     pub fn held_up(&self, limits: &Limits) -> bool {
         self.held_up.is_some_and(|since| since.elapsed() < limits.client_idle)
     }
-
-    /// When it was last in use.
-    pub fn last(&self) -> Instant {
-        self.heard.unwrap_or(self.idle)
-    }
 }
 
 impl Guest {
@@ -81,14 +76,18 @@
     }
 
     /// Whether a stop may close it: nothing is in hand, no part of a request is there, no answer waits to be read,
-    /// and it was quiet for a while, twice as long where its first request is still to come.
-    pub fn may_go(&self, limits: &Limits) -> bool {
-        let first = self.requests.load(Ordering::Relaxed) == 0;
+    /// and it has rested for a while; `late` in the stop, at all. One whose first request is still to come has longer.
+    pub fn may_go(&self, limits: &Limits, late: bool) -> bool {
+        let rest = match self.requests.load(Ordering::Relaxed) {
+            0 => limits.stop_first,
+            _ if late => limits.client_settled,
+            _ => limits.stop_rest,
+        };
         let times = lock(&self.times);
         times.heard.is_none()
             && !self.busy.load(Ordering::Relaxed)
             && !times.held_up(limits)
-            && times.idle.elapsed() >= limits.stop_quiet * if first { 2 } else { 1 }
+            && times.idle.elapsed() >= rest
     }
 
     /// Has it close, unless something comes meanwhile.
--- a/crates/merlinreel/src/clients/stop.rs
+++ b/crates/merlinreel/src/clients/stop.rs
@@ -1,6 +1,6 @@
 //! Clients' connections taken, and the planned stop. After the signal clients send on every connection that stays
 //! open, and new ones come for a while. So the stop goes in steps: it serves on as before; then each answer tells
-//! that its connection closes, and connections that are quiet are closed between requests; then the socket is let
+//! that its connection closes, and connections that rest are closed between requests; then the socket is let
 //! go of, with all that waited on it taken first; and the limiter ends once nobody is left.
 
 use super::Door;
@@ -50,14 +50,9 @@
             return self.empty(Duration::ZERO).await;
         }
         log!("asked to stop: serving on for a moment, then finishing what is in hand");
-        let (least, most) = (self.limits.stop_least, self.limits.stop_most);
         tokio::select! {
             () = self.accept(&listener, &places) => {}
-            () = sleep(most) => {}
-            () = async {
-                sleep(least).await;
-                self.quiet(asked).await;
-            } => {}
+            () = sleep(self.limits.stop_tells) => {}
         }
         self.closing.store(true, Ordering::Relaxed);
         // Short of the end, so that what is taken last has its answer.
@@ -78,11 +73,13 @@
     /// time is over, until nothing is in hand.
     async fn empty(&self, quiet: Duration) {
         let mut since = Instant::now();
+        let closes = self.asked.get().map(|&asked| asked + self.limits.stop_closes);
         loop {
+            let late = closes.is_some_and(|at| at <= Instant::now());
             let (mut left, mut bound) = (false, self.in_hand() > 0);
             for guest in lock(&self.guests).values() {
                 left = true;
-                if guest.may_go(&self.limits) {
+                if guest.may_go(&self.limits, late) {
                     guest.evict();
                 }
                 // Nor while the rest of an answer waits for a client that reads slowly.
@@ -98,17 +95,6 @@
         }
     }
 
-    /// Returns once nobody has come or asked for anything for a while.
-    async fn quiet(&self, since: Instant) {
-        loop {
-            let last = lock(&self.guests).values().map(|guest| lock(&guest.times).last()).max();
-            if last.map_or(since, |at| at.max(since)).elapsed() >= self.limits.stop_quiet {
-                return;
-            }
-            sleep(self.limits.stop_quiet / 10).await;
-        }
-    }
-
     async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
         loop {
             let Some(seat) = self.seat(places).await else { return };
--- a/crates/merlinreel/src/clients/tests.rs
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -149,17 +149,24 @@
     Ok(())
 }
 
-/// Asked of 5 s ago, or of 0.3 s ago, with so many requests behind it; or with part of one there, or in hand.
-#[test_case(2, 5.0, None, false => true ; "it was quiet")]
-#[test_case(2, 0.1, None, false => false ; "just used")]
-#[test_case(0, 0.3, None, false => false ; "its first request may come")]
-#[test_case(0, 0.5, None, false => true ; "its first one never came")]
-#[test_case(2, 5.0, Some(1.0), false => false ; "half a request")]
-#[test_case(2, 5.0, None, true => false ; "in hand")]
-fn a_stop_closes_between_requests(requests: usize, idle: f64, heard: Option<f64>, busy: bool) -> bool {
+/// So many requests behind it, idle for so many seconds, with part of one there or in hand; early or late in a stop.
+#[test_case(2, 0.15, None, false, false => true ; "it rested")]
+#[test_case(2, 0.05, None, false, false => false ; "just used")]
+#[test_case(2, 0.05, None, false, true => true ; "just used, but it is late")]
+#[test_case(0, 0.3, None, false, true => false ; "its first request may come")]
+#[test_case(0, 0.5, None, false, false => true ; "its first one never came")]
+#[test_case(2, 5.0, Some(1.0), false, true => false ; "half a request")]
+#[test_case(2, 5.0, None, true, true => false ; "in hand")]
+fn a_stop_closes_between_requests(
+    requests: usize,
+    idle: f64,
+    heard: Option<f64>,
+    busy: bool,
+    late: bool,
+) -> bool {
     let one = guest(requests, idle, heard);
     one.busy.store(busy, Ordering::Relaxed);
-    one.may_go(&limits())
+    one.may_go(&limits(), late)
 }
 
 /// A job taken after the signal ends before the process may be killed, whatever time its client has left: the
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -54,11 +54,14 @@
     pub first_list: Duration,
     /// A probe unanswered for this long has failed.
     pub probe: Duration,
-    /// After a stop is asked for: served on at least and at most so long while connections come, then each
-    /// is closed between requests, late ones are still taken for so long, and all ends once nothing came
-    /// for a while.
-    pub stop_least: Duration,
-    pub stop_most: Duration,
+    /// After a stop is asked for: served as before so long, then answers tell that their connection closes; one that
+    /// rested for a while is closed between requests, from a later moment on each that rests at all, and one whose
+    /// first request is still to come after a while of its own. Late ones are taken for so long, and all ends once
+    /// nothing came for a while.
+    pub stop_tells: Duration,
+    pub stop_rest: Duration,
+    pub stop_closes: Duration,
+    pub stop_first: Duration,
     pub stop_late: Duration,
     pub stop_quiet: Duration,
     /// By then the last job has its answer, counted from the signal: well before the process is killed.
@@ -142,8 +145,12 @@
             // fleets that are killed in an outage must be back soon.
             first_list: Duration::from_millis(250),
             probe: Duration::from_millis(250),
-            stop_least: Duration::from_millis(500),
-            stop_most: Duration::from_millis(700),
+            // New connections come for up to 0.4 s.
+            stop_tells: Duration::from_millis(400),
+            stop_rest: Duration::from_millis(100),
+            // A request that crosses its connection's end is sent again; from 0.7 s on it may count as lost.
+            stop_closes: Duration::from_millis(620),
+            stop_first: Duration::from_millis(400),
             stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
             // Killed no sooner than the longest outer limit, 3 s at most, and 0.7 s: a busy machine needs some of it.
--- a/crates/merlinreel/src/stream.rs
+++ b/crates/merlinreel/src/stream.rs
@@ -31,6 +31,12 @@
         Tallied { stream, tally }
     }
 
+    /// Whether the kernel holds bytes that nobody has read.
+    pub fn waits(&self) -> bool {
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        matches!(peeked, Ok(1..))
+    }
+
     /// Guards against bytes behind the last answer, which would be read as the next one's: asks the kernel, as
     /// the poller may not have told of them yet.
     fn clear(&self) -> io::Result<()> {
