A mesh of limiters: membership by SWIM, signed datagrams, shared records aged by their holder

Change: crates/merlinreel-mesh: seal (HMAC-SHA256 with key ids, repeats by a window, the receiver's address signed), records (a number for all that is held of a process, ages from beats told with their age), node (foca's SWIM, one comparison a second, urgent records at once to four), budget, wire, and shell, the only I/O. chitchat was weighed and not taken (docs/mesh.md). merlinreel: section mesh, keys read again at SIGHUP, GET /mesh; off without the section. run takes Turns, what may turn while it runs.

Three tests with 3 to 5 processes over relays that lose, repeat and cut.

--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::limits::Limits;
 use crate::log;
+use crate::mesh::Ground;
 use crate::messages::RosterNews;
 use crate::roster;
 use merlinreel_settings::{Paths, Terms};
@@ -26,6 +27,8 @@
     pub terms: Terms,
     /// The roster as this limiter last had it.
     pub known: Option<RosterNews>,
+    /// The mesh of limiters, where this one takes part.
+    pub mesh: Option<Ground>,
     /// Keys of the file that mean nothing here: misspelt, or meant for another version.
     pub unknown: Vec<String>,
 }
@@ -44,6 +47,7 @@
     peers: Vec<SocketAddr>,
     known: Option<roster::Message>,
     settings: Option<serde_json::Value>,
+    mesh: Option<Ground>,
     /// Letters go to one limiter at a time.
     #[serde(rename = "peers_all")]
     _peers_all: Option<serde_json::Value>,
@@ -77,7 +81,7 @@
 }
 
 /// Reads the file again, for a limiter that runs. The address of discovery and the settings are taken over (of
-/// these the module takes classes and attempts), all else holds until the next start; a faulty file is named and changes nothing. Whether the file was taken.
+/// these the module takes classes and attempts), and the keys of the mesh; all else holds until the next start; a faulty file is named and changes nothing. Whether the file was taken.
 pub fn reread(present: &mut Station, variable: impl Fn(&str) -> Option<String>) -> bool {
     let new = match read(variable) {
         Ok(new) => new,
@@ -93,6 +97,7 @@
         ("peer_listen", new.peer_listen != present.peer_listen),
         ("peers", new.peers != present.peers),
         ("limits", new.limits != present.limits),
+        ("mesh", but_keys(&new.mesh) != but_keys(&present.mesh)),
     ];
     for (key, _) in kept.iter().filter(|(_, changed)| *changed) {
         log!("configuration, read again: {key} is another, which holds from the next start on");
@@ -104,9 +109,17 @@
     }
     present.discovery = new.discovery;
     present.terms = new.terms;
+    if let (Some(present), Some(new)) = (&mut present.mesh, new.mesh) {
+        (present.keys, present.sign_with) = (new.keys, new.sign_with);
+    }
     true
 }
 
+/// The section without what is taken over while the limiter runs.
+fn but_keys(ground: &Option<Ground>) -> Option<Ground> {
+    ground.clone().map(|ground| Ground { keys: Vec::new(), sign_with: None, ..ground })
+}
+
 /// Checks a configuration; a complaint begins with the key at fault.
 pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
     let (mut json, mut track) = (serde_json::Deserializer::from_str(text), serde_path_to_error::Track::new());
@@ -152,6 +165,7 @@
             (None, None) => None,
             (given, _) => Some(address("ops", given, "PROXY_OPS")?),
         },
+        mesh: file.mesh,
         peer_listen: file.peer_listen,
         peers: file.peers,
         seed,
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod flow;
 pub mod limits;
 pub mod log;
+pub mod mesh;
 pub mod messages;
 pub mod ops;
 pub mod peers;
@@ -42,6 +43,7 @@
 /// What the operators' door tells.
 struct Told {
     door: Arc<clients::Door>,
+    mesh: Option<merlinreel_mesh::shell::Mesh>,
     figures: Arc<figures::Figures>,
 }
 
@@ -52,22 +54,46 @@
     fn stats(&self) -> String {
         self.figures.text(self.door.in_hand())
     }
+    fn mesh(&self) -> Option<String> {
+        self.mesh.as_ref().map(|mesh| mesh::told(mesh).to_string())
+    }
+}
+
+/// What may turn while a limiter runs, with the values at its start.
+#[derive(Debug)]
+pub struct Turns {
+    pub settings: watch::Receiver<merlinreel_settings::Terms>,
+    /// Where the roster is watched.
+    pub discovery: watch::Receiver<SocketAddr>,
+    /// The mesh's keys are read again at each word of it.
+    pub ground: watch::Receiver<Option<mesh::Ground>>,
 }
 
-/// Runs one limiter until `stop` ends and what it then holds is answered; `discovery` tells where the roster
-/// is watched, at first and later. Clients come through `handed` where the platform holds their socket, else
+/// Runs one limiter until `stop` ends and what it then holds is answered; `turns` tell what
+/// the operators change meanwhile. Clients come through `handed` where the platform holds their socket, else
 /// through `listen`. Needs a runtime of tokio's with time and I/O; one thread is enough.
 pub async fn run(
     station: config::Station,
     handed: Option<std::net::TcpListener>,
     figures: Arc<figures::Figures>,
-    mut tunes: watch::Receiver<merlinreel_settings::Terms>,
-    discovery: watch::Receiver<SocketAddr>,
+    turns: Turns,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let clock = driver::Clock::start();
+    let Turns { settings: mut tunes, discovery, ground: mut grounds } = turns;
     let config::Station {
-        name, listen, ops, peer_listen, peers, seed, limits, terms, known, unknown, ..
+        name,
+        listen,
+        ops,
+        peer_listen,
+        peers,
+        seed,
+        limits,
+        terms,
+        known,
+        unknown,
+        mesh: ground,
+        ..
     } = station;
     unknown.iter().for_each(|key| log!("configuration: key {key} is not known and has no effect"));
     let named =
@@ -111,12 +137,32 @@
     log!("{name} takes jobs at {at}{}", if inherited { ", on the socket handed down" } else { "" });
     let door = clients::Door::new(limits.clone(), tuned, queue, figures.clone());
     let first = timeout(limits.first_list, first);
+    let taking = match &ground {
+        Some(ground) => {
+            let serving = door.clone();
+            let taking = mesh::Taking::begin(ground, name, seed, move || serving.serves()).await;
+            Some(taking.map_err(io::Error::other)?)
+        }
+        None => None,
+    };
+    if let Some(mesh) = taking.as_ref().map(|taking| taking.mesh.clone()) {
+        others.push(tokio::spawn(async move {
+            while grounds.changed().await.is_ok() {
+                let Some(ground) = grounds.borrow_and_update().clone() else { continue };
+                match ground.keys() {
+                    Ok(keys) => mesh.rekey(keys),
+                    Err(error) => log!("{error}; the keys before stand"),
+                }
+            }
+        }));
+    }
+    let told = taking.as_ref().map(|taking| taking.mesh.clone());
     if let Some(at) = ops {
         let listener = TcpListener::bind(at).await.map_err(|error| named("ops", at, error))?;
         others.push(tokio::spawn(ops::attend(
             listener,
             limits,
-            Arc::new(Told { door: door.clone(), figures }),
+            Arc::new(Told { door: door.clone(), mesh: told, figures }),
         )));
     }
     let door = async {
@@ -128,6 +174,9 @@
         door.attend(listener, inherited, stop).await
     };
     let ended = attended(door, &mut driving).await;
+    if let Some(taking) = taking {
+        taking.end().await;
+    }
     others.iter().chain([&driving]).for_each(|task| task.abort());
     ended
 }
--- a/crates/merlinreel/src/main.rs
+++ b/crates/merlinreel/src/main.rs
@@ -59,19 +59,25 @@
     let mut present = station.clone();
     let figures = merlinreel::figures::Figures::new(&station.terms.wire.categories);
     let counted = figures.clone();
-    let (tune, tunes) = watch::channel(station.terms.clone());
+    let (tune, settings) = watch::channel(station.terms.clone());
+    let (reground, ground) = watch::channel(station.mesh.clone());
     tokio::spawn(async move {
         while again.recv().await.is_some() {
             let taken = config::reread(&mut present, |name| std::env::var(name).ok());
             counted.reloaded(taken);
             turn.send_if_modified(|at| replaced(at, &present.discovery));
             tune.send_if_modified(|terms| replaced(terms, &present.terms));
+            if taken {
+                // The files may hold other keys under the same names.
+                reground.send_replace(present.mesh.clone());
+            }
         }
     });
     let stop = async move {
         asked.recv().await;
     };
-    merlinreel::run(station, handed, figures, tunes, discovery, stop).await.map_err(|error| error.to_string())
+    let turns = merlinreel::Turns { settings, discovery, ground };
+    merlinreel::run(station, handed, figures, turns, stop).await.map_err(|error| error.to_string())
 }
 
 fn main() -> ExitCode {
--- a/crates/merlinreel/src/ops.rs
+++ b/crates/merlinreel/src/ops.rs
@@ -1,5 +1,5 @@
 //! The operators' door: HTTP/1.1, one call to a connection. `GET /healthcheck` says whether this process can
-//! serve (200, or 503 once it stops); `GET /stats` gives the figures. Another path is 404, another method 405.
+//! serve (200, or 503 once it stops); `GET /stats` gives the figures, `GET /mesh` who takes part in the mesh. Another path is 404, another method 405.
 //! Each connection is its own task and must bring a whole call within `Limits::ops_call`, so that a caller who
 //! stalls delays nobody; at most `Limits::ops_connections` are open, and a newcomer beyond that ends the oldest.
 
@@ -24,18 +24,26 @@
 pub trait Telling: Send + Sync + 'static {
     fn serves(&self) -> bool;
     fn stats(&self) -> String;
+    /// What is known of the mesh, as JSON; none where this limiter takes no part.
+    fn mesh(&self) -> Option<String> {
+        None
+    }
 }
 
 /// Answers one call.
 pub fn answer(method: &Method, path: &str, telling: &dyn Telling) -> Response<Full<Bytes>> {
     match (path, method == Method::GET) {
-        ("/healthcheck" | "/stats", false) => {
+        ("/healthcheck" | "/stats" | "/mesh", false) => {
             respond(StatusCode::METHOD_NOT_ALLOWED, "GET only\n".to_owned())
         }
         ("/healthcheck", true) if telling.serves() => respond(StatusCode::OK, "yes\n".to_owned()),
         ("/healthcheck", true) => respond(StatusCode::SERVICE_UNAVAILABLE, "no\n".to_owned()),
         ("/stats", true) => respond(StatusCode::OK, telling.stats()),
-        _ => respond(StatusCode::NOT_FOUND, "not here: /healthcheck, /stats\n".to_owned()),
+        ("/mesh", true) => match telling.mesh() {
+            Some(text) => respond(StatusCode::OK, text + "\n"),
+            None => respond(StatusCode::NOT_FOUND, "this limiter has no section mesh\n".to_owned()),
+        },
+        _ => respond(StatusCode::NOT_FOUND, "not here: /healthcheck, /stats, /mesh\n".to_owned()),
     }
 }
 
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program as it runs: started by its configuration, spoken to over sockets.
 
+mod mesh;
 mod stop;
 mod support;
 
--- a/crates/merlinreel/tests/sockets/stop.rs
+++ b/crates/merlinreel/tests/sockets/stop.rs
@@ -143,10 +143,12 @@
     station.limits.first_list = first_list;
     thread::spawn(move || {
         let figures = merlinreel::figures::Figures::new(&station.terms.wire.categories);
-        let (_tune, tunes) = tokio::sync::watch::channel(station.terms.clone());
+        let (_tune, settings) = tokio::sync::watch::channel(station.terms.clone());
         let (_turn, discovery) = tokio::sync::watch::channel(station.discovery);
+        let (_reground, ground) = tokio::sync::watch::channel(None);
+        let turns = merlinreel::Turns { settings, discovery, ground };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(merlinreel::run(station, None, figures, tunes, discovery, std::future::pending()))
+        runtime.block_on(merlinreel::run(station, None, figures, turns, std::future::pending()))
     });
 }
 
