A test bed of several processes with faults between them, and a checker of the five rules

Change: crates/merlinreel-testbed, a dev-dependency: workers, agents, clients that come again, processes, a relay on each way (TCP and UDP: cut, lose, delay, jitter, repeat, reorder, throttle, trickle, break), scripts drawn from a seed, a record of what clients and workers saw, and a checker. tests/support is gone into it; the mesh's tests use its links.

Each rule has planted courses that the checker finds.

--- /dev/null
+++ b/crates/merlinreel-testbed/src/checker.rs
@@ -0,0 +1,186 @@
+//! The five rules, held against a record. What the rules leave open is not judged: a job at a process that was killed
+//! meanwhile may go unanswered, and one at a process that stood still may be answered later by that long.
+
+mod jobs;
+#[cfg(test)]
+mod tests;
+
+use crate::record::{Entry, What};
+use jobs::Job;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// How far a record may be from the rules' letter: what the machine under the test may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// An answer may be so late.
+    pub late: Duration,
+    /// Trips may still begin so long after word of a drain: the deployment's grace and the machine's share.
+    pub grace: Duration,
+    /// Connections that end with no answer, one in so many jobs: requests that crossed the end.
+    pub unanswered_one_in: usize,
+    /// Units that a customer may take: at once, and a second on.
+    pub quota: Option<(f64, f64)>,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            late: Duration::from_secs(2),
+            grace: Duration::from_secs(3),
+            unanswered_one_in: 200,
+            quota: None,
+        }
+    }
+}
+
+/// A rule that a record breaks, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// More than may be: so many of so many jobs had no answer, though their process lived.
+    Lost {
+        unanswered: usize,
+        of: usize,
+    },
+    AnsweredTwice(String),
+    Late(String),
+    /// A single-use job went out again, or was deferred, after a trip that may have run.
+    EffectTwice(String),
+    /// Two trips of one job were out at once.
+    TwoTripsOut(String),
+    /// A trip began at a worker past the grace after its limiter was told of the drain.
+    AfterDrain {
+        id: String,
+        worker: usize,
+    },
+    /// A customer took more units than its quota gives in any span, by so many.
+    BeyondQuota {
+        customer: u32,
+        units: u64,
+    },
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Broken::Lost { unanswered, of } => write!(out, "no job lost: {unanswered} of {of} had no answer"),
+            Broken::AnsweredTwice(id) => write!(out, "one final answer: job {id} had two"),
+            Broken::Late(id) => write!(out, "an answer in time: job {id} had it later"),
+            Broken::EffectTwice(id) => {
+                write!(out, "no effect twice: job {id} after a trip that may have run")
+            }
+            Broken::TwoTripsOut(id) => write!(out, "one trip out at a time: job {id} had two"),
+            Broken::AfterDrain { id, worker } => write!(out, "drains kept: job {id} at worker {worker}"),
+            Broken::BeyondQuota { customer, units } => {
+                write!(out, "ceilings: customer {customer} by {units}")
+            }
+        }
+    }
+}
+
+/// All that a record breaks; nothing if it holds.
+pub fn check(entries: &[Entry], bounds: &Bounds) -> Vec<Broken> {
+    let jobs = jobs::of(entries);
+    let away = Away::of(entries);
+    let mut broken = Vec::new();
+    let mut unanswered = 0;
+    for (id, job) in &jobs {
+        if job.answers.len() > 1 {
+            broken.push(Broken::AnsweredTwice(id.clone()));
+        }
+        let due = job.asked + job.patience + bounds.late;
+        match job.answers.first() {
+            Some(&(at, _)) if at > due + away.stalled(job.limiter, job.asked, at) => {
+                broken.push(Broken::Late(id.clone()));
+            }
+            Some(_) => {}
+            None if away.killed(job.limiter, job.asked, due) => {}
+            // A client gives up on a process that stands still: nobody is there to be answered.
+            None if job.gave_up && away.stalled(job.limiter, job.asked, due) > Duration::ZERO => {}
+            None if job.gave_up => unanswered += 1,
+            // Still waiting as the record ended.
+            None => {}
+        }
+        broken.extend(job.effects().map(|()| Broken::EffectTwice(id.clone())));
+        broken.extend(job.two_out().then(|| Broken::TwoTripsOut(id.clone())));
+        for trip in &job.trips {
+            if let Some(told) = away.told.get(&(job.limiter, trip.worker))
+                && trip.came > *told + bounds.grace + away.stalled(job.limiter, *told, trip.came)
+            {
+                broken.push(Broken::AfterDrain { id: id.clone(), worker: trip.worker });
+            }
+        }
+    }
+    if unanswered * bounds.unanswered_one_in > jobs.len() {
+        broken.push(Broken::Lost { unanswered, of: jobs.len() });
+    }
+    broken.extend(bounds.quota.into_iter().flat_map(|quota| beyond(&jobs, quota)));
+    broken
+}
+
+/// Customers that took more than a store that refills gives: in no span may more go out than it holds at once and what
+/// came in meanwhile.
+fn beyond(jobs: &BTreeMap<String, Job>, (at_once, a_second): (f64, f64)) -> Vec<Broken> {
+    let mut taken: BTreeMap<u32, Vec<Duration>> = BTreeMap::new();
+    for job in jobs.values() {
+        taken.entry(job.customer).or_default().extend(job.trips.first().map(|trip| trip.came));
+    }
+    let mut broken = Vec::new();
+    for (customer, mut times) in taken {
+        times.sort_unstable();
+        let (mut store, mut last, mut over) = (at_once, Duration::ZERO, 0.0f64);
+        for at in times {
+            store = (store + a_second * (at - last).as_secs_f64()).min(at_once) - 1.0;
+            last = at;
+            over = over.max(-store);
+        }
+        if over >= 1.0 {
+            broken.push(Broken::BeyondQuota { customer, units: over as u64 });
+        }
+    }
+    broken
+}
+
+/// What is known of the limiters' processes.
+struct Away {
+    killed: Vec<(usize, Duration)>,
+    /// From when, until when.
+    stalls: Vec<(usize, Duration, Duration)>,
+    told: BTreeMap<(usize, usize), Duration>,
+}
+
+impl Away {
+    fn of(entries: &[Entry]) -> Away {
+        let mut away = Away { killed: Vec::new(), stalls: Vec::new(), told: BTreeMap::new() };
+        for Entry { at, what } in entries {
+            match what {
+                What::Killed { limiter } => away.killed.push((*limiter, *at)),
+                What::Stopped { limiter } => away.stalls.push((*limiter, *at, Duration::MAX)),
+                What::Woken { limiter } => {
+                    let open =
+                        |stall: &&mut (usize, _, Duration)| stall.0 == *limiter && stall.2 == Duration::MAX;
+                    away.stalls.iter_mut().rev().find(open).into_iter().for_each(|stall| stall.2 = *at);
+                }
+                What::Told { limiter, worker } => {
+                    away.told.entry((*limiter, *worker)).or_insert(*at);
+                }
+                _ => {}
+            }
+        }
+        away
+    }
+
+    fn killed(&self, limiter: usize, from: Duration, to: Duration) -> bool {
+        self.killed.iter().any(|&(who, at)| who == limiter && at >= from && at <= to)
+    }
+
+    /// How long it stood still within that time.
+    fn stalled(&self, limiter: usize, from: Duration, to: Duration) -> Duration {
+        let within = |&(who, begun, ended): &(usize, Duration, Duration)| {
+            let span = ended.min(to).saturating_sub(begun.max(from));
+            if who == limiter { span } else { Duration::ZERO }
+        };
+        self.stalls.iter().map(within).sum()
+    }
+}
--- /dev/null
+++ b/crates/merlinreel-testbed/src/checker/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+use test_case::test_case;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn asked(category: &'static str) -> What {
+    What::Asked { id: "a".into(), category, customer: 7, limiter: 0, patience: ms(1000) }
+}
+
+fn came(worker: usize, trip: u64) -> What {
+    What::Came { id: "a".into(), worker, trip }
+}
+
+fn answered(status: u16) -> What {
+    What::Answered { id: "a".into(), status, again: false }
+}
+
+/// The rules that a course of events breaks, by their names in the text that an operator reads.
+fn broken(course: &[(u64, What)]) -> Vec<String> {
+    let entries: Vec<Entry> =
+        course.iter().map(|(at, what)| Entry { at: ms(*at), what: what.clone() }).collect();
+    let found = check(&entries, &Bounds { quota: Some((2.0, 1.0)), ..Bounds::default() });
+    found.iter().map(|one| one.to_string().split(':').next().unwrap_or("").to_owned()).collect()
+}
+
+/// Planted violations: the checker finds each, and nothing in a course that holds.
+#[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::Ran { trip: 1 }), (3, answered(200))] => Vec::<String>::new() ; "as it should be")]
+#[test_case(&[(0, asked("pay")), (900, What::Unanswered { id: "a".into() })] => vec!["no job lost"] ; "lost")]
+#[test_case(&[(0, asked("pay")), (5, What::Killed { limiter: 0 }), (9, What::Unanswered { id: "a".into() })] => Vec::<String>::new() ; "its process was killed")]
+#[test_case(&[(0, asked("look")), (3, answered(200)), (4, answered(429))] => vec!["one final answer"] ; "two answers")]
+#[test_case(&[(0, asked("look")), (4000, answered(200))] => vec!["an answer in time"] ; "late")]
+#[test_case(&[(0, asked("look")), (10, What::Stopped { limiter: 0 }), (3000, What::Woken { limiter: 0 }), (4000, answered(502))] => Vec::<String>::new() ; "its process stood still")]
+#[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::Left { trip: 1 }), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200))] => vec!["no effect twice"] ; "single-use twice")]
+#[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::Left { trip: 1 }), (3, answered(429))] => vec!["no effect twice"] ; "deferred though it may have run")]
+#[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::TurnedAway { trip: 1 }), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200))] => Vec::<String>::new() ; "turned away, then elsewhere")]
+#[test_case(&[(0, asked("look")), (1, came(0, 1)), (2, What::Left { trip: 1 }), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200))] => Vec::<String>::new() ; "replayable again")]
+#[test_case(&[(0, asked("look")), (1, came(0, 1)), (2, came(1, 2)), (3, What::Ran { trip: 1 }), (4, What::Ran { trip: 2 }), (5, answered(200))] => vec!["one trip out at a time"] ; "two out")]
+#[test_case(&[(0, What::Told { limiter: 0, worker: 3 }), (3500, asked("look")), (3600, came(3, 1)), (3601, What::Ran { trip: 1 }), (3602, answered(200))] => vec!["drains kept"] ; "past the grace")]
+#[test_case(&[(0, What::Told { limiter: 1, worker: 3 }), (3500, asked("look")), (3600, came(3, 1)), (3601, What::Ran { trip: 1 }), (3602, answered(200))] => Vec::<String>::new() ; "another limiter was told")]
+fn each_rule_is_held(course: &[(u64, What)]) -> Vec<String> {
+    broken(course)
+}
+
+/// Three jobs at once of a customer whose store holds two: one too many; spread over time there is none.
+#[test_case(0 => vec!["ceilings"] ; "at once")]
+#[test_case(1000 => Vec::<String>::new() ; "as it refills")]
+fn a_quota_is_held(apart: u64) -> Vec<String> {
+    let mut course = Vec::new();
+    for n in 0..3u64 {
+        let (id, at) = (format!("j{n}"), n * apart);
+        let patience = ms(1000);
+        course
+            .push((at, What::Asked { id: id.clone(), category: "look", customer: 7, limiter: 0, patience }));
+        course.push((at + 1, What::Came { id: id.clone(), worker: 0, trip: n }));
+        course.push((at + 2, What::Ran { trip: n }));
+        course.push((at + 3, What::Answered { id, status: 200, again: false }));
+    }
+    broken(&course)
+}
--- /dev/null
+++ b/crates/merlinreel-testbed/src/field.rs
@@ -0,0 +1,141 @@
+//! Several limiters at work: workers, an agent each, clients, and a link on each way.
+
+use crate::link::{TcpLink, UdpLink, Weather};
+use crate::{Agent, Deed, Entry, Program, Record, Script, Standing, What, Worker, WorkerKind};
+use crate::{config, free_address, keep_asking, listed};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Limiters, workers, an agent each, and a link on each way between them.
+#[derive(Debug)]
+pub struct Field {
+    record: Record,
+    pub workers: Vec<Worker>,
+    agents: Vec<Agent>,
+    /// From each limiter to each worker.
+    ways: Vec<Vec<TcpLink>>,
+    /// Between the limiters, a fifth lost; they live as long as the field.
+    _letters: Vec<UdpLink>,
+    configs: Vec<Value>,
+    programs: Vec<Option<Program>>,
+}
+
+impl Field {
+    /// Starts so many of each, and waits until all serve.
+    pub fn start(seed: u64, limiters: usize, workers: usize) -> Field {
+        let record = Record::default();
+        let kind = WorkerKind { cold: 2.0, warm_after: Duration::from_secs(1), ..WorkerKind::default() };
+        let workers: Vec<Worker> = (0..workers).map(|number| Worker::start(number, kind, &record)).collect();
+        let way =
+            |i: usize, j: usize| TcpLink::to(workers[j].address, seed * 100 + (i * workers.len() + j) as u64);
+        let ways: Vec<Vec<TcpLink>> =
+            (0..limiters).map(|i| (0..workers.len()).map(|j| way(i, j)).collect()).collect();
+        let addresses = |i: usize| ways[i].iter().map(|way| way.address).collect::<Vec<SocketAddr>>();
+        let agents: Vec<Agent> = (0..limiters).map(|i| Agent::start(i, addresses(i), &record)).collect();
+        agents[0].indent();
+        let places: Vec<SocketAddr> = (0..limiters).map(|_| free_address()).collect();
+        let mut letters = Vec::new();
+        let mut peers: Vec<Vec<SocketAddr>> = vec![places.clone(); limiters];
+        for i in 0..limiters {
+            for j in i + 1..limiters {
+                let link = UdpLink::between(places[i], places[j], seed * 1000 + (i * limiters + j) as u64);
+                (peers[i][j], peers[j][i]) = (link.for_one, link.for_other);
+                link.there.set(Weather { lose: 20, repeat: 5, ..Weather::default() });
+                link.back.set(Weather { lose: 20, repeat: 5, reorder: 5, ..Weather::default() });
+                letters.push(link);
+            }
+        }
+        let configs: Vec<Value> = (0..limiters)
+            .map(|i| {
+                let known: Vec<Value> = addresses(i)
+                    .iter()
+                    .enumerate()
+                    .map(|(j, at)| listed(&format!("s-{j}"), *at, "up"))
+                    .collect();
+                let mut config = config(&known);
+                config["discovery"] = agents[i].address.to_string().into();
+                config["peer_listen"] = places[i].to_string().into();
+                config["peers"] = peers[i].iter().map(ToString::to_string).collect();
+                (config["settings"]["balancers"], config["settings"]["rank"]) = (limiters.into(), i.into());
+                let plan = &mut config["settings"]["packages"][0];
+                (plan["unitsPerS"], plan["mostAtOnce"]) = (1000.into(), 1000.into());
+                config
+            })
+            .collect();
+        let programs = configs.iter().map(|config| Some(Program::start(config))).collect();
+        Field { record, workers, agents, ways, _letters: letters, configs, programs }
+    }
+
+    fn signal(&self, i: usize, name: &str) {
+        self.programs[i].iter().for_each(|program| program.signal(name));
+    }
+
+    /// The weather from a limiter to a worker, and back.
+    pub fn weather(&self, i: usize, j: usize, there: Weather, back: Weather) {
+        self.ways[i][j].there.set(there);
+        self.ways[i][j].back.set(back);
+    }
+
+    fn befall(&mut self, deed: Deed) {
+        let (fair, cut) = (Weather::default(), Weather { cut: true, ..Weather::default() });
+        match deed {
+            Deed::Kill(i) => {
+                self.record.tell(What::Killed { limiter: i });
+                self.signal(i, "-KILL");
+                self.programs[i] = None;
+                // What was on its way as it died is its death's doing, too.
+                self.record.tell(What::Killed { limiter: i });
+            }
+            Deed::Start(i) => self.programs[i] = Some(Program::start(&self.configs[i])),
+            Deed::Stop(i) => {
+                self.record.tell(What::Stopped { limiter: i });
+                self.signal(i, "-STOP");
+            }
+            Deed::Wake(i) => {
+                self.signal(i, "-CONT");
+                self.record.tell(What::Woken { limiter: i });
+            }
+            Deed::Drain(j) => {
+                self.workers[j].drain();
+                self.agents.iter().for_each(|agent| agent.set(j, Standing::Draining));
+            }
+            Deed::Pause(j) => self.workers[j].pause(true),
+            Deed::Resume(j) => self.workers[j].pause(false),
+            Deed::Cut(i, j) => self.weather(i, j, cut, cut),
+            Deed::CutBack(i, j) => self.weather(i, j, fair, cut),
+            Deed::Heal(i, j) => self.weather(i, j, fair, fair),
+            Deed::Break(i, j) => self.ways[i][j].break_all(),
+            Deed::Silence(i) => self.agents[i].silence(true),
+            Deed::Speak(i) => self.agents[i].silence(false),
+        }
+    }
+
+    /// Plays a script under clients that keep asking, and returns what was seen.
+    pub fn play(&mut self, script: &Script, span: Duration) -> Vec<Entry> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let limiters = self.configs.len();
+        let clients: Vec<_> = (0..limiters * 3)
+            .map(|n| {
+                let (record, stop) = (self.record.clone(), stop.clone());
+                let address =
+                    self.configs[n % limiters]["listen"].as_str().and_then(|text| text.parse().ok());
+                let address: SocketAddr = address.expect("an address");
+                let times = (Duration::from_millis(15), Duration::from_millis(1500), Duration::from_secs(3));
+                thread::spawn(move || keep_asking(n % limiters, address, n as u32, &record, &stop, times))
+            })
+            .collect();
+        let begun = Instant::now();
+        for (at, deed) in &script.deeds {
+            thread::sleep(at.saturating_sub(begun.elapsed()));
+            self.befall(*deed);
+        }
+        thread::sleep(span.saturating_sub(begun.elapsed()));
+        stop.store(true, Ordering::Relaxed);
+        clients.into_iter().for_each(|client| client.join().expect("a client"));
+        self.record.entries()
+    }
+}
--- /dev/null
+++ b/crates/merlinreel-testbed/src/record.rs
@@ -0,0 +1,95 @@
+//! What everybody saw, in order.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// `X-Txn`, as its client wrote it.
+pub type JobId = String;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// A client wrote a job whole to a limiter, by that limiter's number.
+    Asked {
+        id: JobId,
+        category: &'static str,
+        customer: u32,
+        limiter: usize,
+        patience: Duration,
+    },
+    /// It read a whole answer; `again` if that told when to come back.
+    Answered {
+        id: JobId,
+        status: u16,
+        again: bool,
+    },
+    /// The connection ended, or the client's time and more was over, with no whole answer.
+    Unanswered {
+        id: JobId,
+    },
+    /// A trip's last byte was there at a worker.
+    Came {
+        id: JobId,
+        worker: usize,
+        trip: u64,
+    },
+    /// It was turned away: it never runs.
+    TurnedAway {
+        trip: u64,
+    },
+    /// It has run, and its answer was written as far as the worker can tell.
+    Ran {
+        trip: u64,
+    },
+    /// The limiter ended the connection before that.
+    Left {
+        trip: u64,
+    },
+    /// An agent wrote to a limiter that this worker drains or is gone.
+    Told {
+        limiter: usize,
+        worker: usize,
+    },
+    /// A fault on a limiter's process: it holds from here on, or until the next of its kind.
+    Killed {
+        limiter: usize,
+    },
+    Stopped {
+        limiter: usize,
+    },
+    Woken {
+        limiter: usize,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Since the record began.
+    pub at: Duration,
+    pub what: What,
+}
+
+/// Shared by all who tell.
+#[derive(Clone, Debug)]
+pub struct Record {
+    began: Instant,
+    entries: Arc<Mutex<Vec<Entry>>>,
+}
+
+impl Default for Record {
+    fn default() -> Record {
+        Record { began: Instant::now(), entries: Arc::default() }
+    }
+}
+
+impl Record {
+    /// Notes what was seen now.
+    pub fn tell(&self, what: What) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        // Under the lock: in the order of time.
+        entries.push(Entry { at: self.began.elapsed(), what });
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -1,13 +1,13 @@
 //! The program as it runs: started by its configuration, spoken to over sockets.
 
+mod faults;
 mod mesh;
 mod stop;
-mod support;
 
+use merlinreel_testbed::*;
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
-use support::*;
 use test_case::test_case;
 
 #[test]
--- a/crates/merlinreel/tests/sockets/mesh.rs
+++ b/crates/merlinreel/tests/sockets/mesh.rs
@@ -1,52 +1,18 @@
 //! Limiters that know one another: several processes of the program, their datagrams over relays of the test's own.
 
-use super::support::*;
+use merlinreel_testbed::link::{UdpLink, Weather};
+use merlinreel_testbed::*;
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
-/// The way from one process to another: what comes is passed on, lost, or passed on twice.
-struct Link {
-    address: SocketAddr,
-    cut: Arc<AtomicBool>,
-    passed: Arc<AtomicU64>,
-}
-
-impl Link {
-    /// Loses one datagram in `lost`, none at 0, and repeats every fifth after a while.
-    fn to(target: SocketAddr, lost: u64) -> Link {
-        let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        let address = socket.local_addr().expect("bound");
-        let link = Link { address, cut: Arc::default(), passed: Arc::default() };
-        let (cut, passed) = (link.cut.clone(), link.passed.clone());
-        thread::spawn(move || {
-            let mut buffer = [0; 2000];
-            let mut before: Vec<u8> = Vec::new();
-            while let Ok((length, _)) = socket.recv_from(&mut buffer) {
-                let number = passed.fetch_add(1, Ordering::Relaxed);
-                if cut.load(Ordering::Relaxed) || lost > 0 && number % lost == 0 {
-                    continue;
-                }
-                let _ = socket.send_to(&buffer[..length], target);
-                if number % 5 == 1 {
-                    let _ = socket.send_to(&before, target);
-                    before = buffer[..length].to_vec();
-                }
-            }
-        });
-        link
-    }
-}
-
 /// So many limiters, each on its own way to each other.
 struct Village {
     configs: Vec<Value>,
     programs: Vec<Option<Program>>,
-    links: HashMap<(usize, usize), Link>,
+    links: HashMap<(usize, usize), UdpLink>,
     _keys: KeyFolder,
 }
 
@@ -77,17 +43,28 @@
 const SECOND: &str = "fedcba9876543210fedcba9876543210";
 
 impl Village {
-    fn start(size: usize, lost: u64) -> Village {
+    fn start(size: usize, lose: u32) -> Village {
         let keys = KeyFolder::new();
         let file = keys.write("first", FIRST);
         let places: Vec<SocketAddr> = (0..size).map(|_| free_address()).collect();
         let mut links = HashMap::new();
+        for (i, one) in places.iter().enumerate() {
+            for (j, other) in places.iter().enumerate().skip(i + 1) {
+                let link = UdpLink::between(*one, *other, (i * size + j) as u64);
+                let weather = Weather { lose, repeat: 10, reorder: 5, ..Weather::default() };
+                link.there.set(weather);
+                link.back.set(weather);
+                links.insert((i, j), link);
+            }
+        }
         let configs = (0..size).map(|i| {
             let mut routes = serde_json::Map::new();
-            for (j, place) in places.iter().enumerate().filter(|(j, _)| *j != i) {
-                let link = Link::to(*place, lost);
-                routes.insert(place.to_string(), link.address.to_string().into());
-                links.insert((i, j), link);
+            for ((one, other), link) in &links {
+                if *one == i {
+                    routes.insert(places[*other].to_string(), link.for_one.to_string().into());
+                } else if *other == i {
+                    routes.insert(places[*one].to_string(), link.for_other.to_string().into());
+                }
             }
             let mut config = config(&[]);
             config["name"] = format!("n{i}").into();
@@ -140,7 +117,9 @@
     fn cut(&self, sides: impl Fn(usize) -> usize, cut: bool) {
         for ((i, j), link) in &self.links {
             if sides(*i) != sides(*j) {
-                link.cut.store(cut, Ordering::Relaxed);
+                let weather = Weather { cut, ..Weather::default() };
+                link.there.set(weather);
+                link.back.set(weather);
             }
         }
     }
@@ -150,7 +129,7 @@
 /// and comes back as a new life, one that is asked to stop is gone at once, one that stands still is taken in again.
 #[test]
 fn processes_find_one_another_and_notice_who_is_gone() {
-    let mut village = Village::start(5, 5);
+    let mut village = Village::start(5, 20);
     village.until(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]);
     let life = |village: &Village| {
         let limiters = village.told(0)["limiters"].as_array().cloned().unwrap_or_default();
--- a/crates/merlinreel/tests/sockets/stop.rs
+++ b/crates/merlinreel/tests/sockets/stop.rs
@@ -1,7 +1,7 @@
 //! The planned stop of the program, with clients that never stop sending, and a process that starts while its agent
 //! knows more than it does.
 
-use super::support::*;
+use merlinreel_testbed::*;
 use serde_json::Value;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
