The checker leaves alone ends that a cut or the worker's look hid

A relay that is cut holds back the limiter's end of a connection, and a worker looks every 2 ms: it saw the first trip's end after the second came. Lines: Job::two_out, which took the worker's sight for the limiter's deed.

Change: cuts are in the record; trips on a cut way are not judged, nor ends seen up to 0.3 s late. Two planted courses more, one of them another way's cut, which hides nothing.

--- a/crates/merlinreel-testbed/src/checker.rs
+++ b/crates/merlinreel-testbed/src/checker.rs
@@ -18,6 +18,8 @@
     pub late: Duration,
     /// Trips may still begin so long after word of a drain: the deployment's grace and the machine's share.
     pub grace: Duration,
+    /// A worker may see so late that a limiter, or the way, ended a connection.
+    pub seen_late: Duration,
     /// Connections that end with no answer, one in so many jobs: requests that crossed the end.
     pub unanswered_one_in: usize,
     /// Units that a customer may take: at once, and a second on.
@@ -29,6 +31,7 @@
         Bounds {
             late: Duration::from_secs(2),
             grace: Duration::from_secs(3),
+            seen_late: Duration::from_millis(300),
             unanswered_one_in: 200,
             quota: None,
         }
@@ -103,7 +106,11 @@
             None => {}
         }
         broken.extend(job.effects().map(|()| Broken::EffectTwice(id.clone())));
-        broken.extend(job.two_out().then(|| Broken::TwoTripsOut(id.clone())));
+        let hidden = |trip: &jobs::Trip, at: Duration| {
+            trip.over.is_some_and(|over| over <= at + bounds.seen_late)
+                || away.cut(job.limiter, trip.worker, trip.came, at)
+        };
+        broken.extend(job.two_out(hidden).then(|| Broken::TwoTripsOut(id.clone())));
         for trip in &job.trips {
             if let Some(told) = away.told.get(&(job.limiter, trip.worker))
                 && trip.came > *told + bounds.grace + away.stalled(job.limiter, *told, trip.came)
@@ -148,11 +155,14 @@
     /// From when, until when.
     stalls: Vec<(usize, Duration, Duration)>,
     told: BTreeMap<(usize, usize), Duration>,
+    /// Ways, from when, until when.
+    cuts: Vec<((usize, usize), Duration, Duration)>,
 }
 
 impl Away {
     fn of(entries: &[Entry]) -> Away {
-        let mut away = Away { killed: Vec::new(), stalls: Vec::new(), told: BTreeMap::new() };
+        let mut away =
+            Away { killed: Vec::new(), stalls: Vec::new(), told: BTreeMap::new(), cuts: Vec::new() };
         for Entry { at, what } in entries {
             match what {
                 What::Killed { limiter } => away.killed.push((*limiter, *at)),
@@ -162,6 +172,12 @@
                         |stall: &&mut (usize, _, Duration)| stall.0 == *limiter && stall.2 == Duration::MAX;
                     away.stalls.iter_mut().rev().find(open).into_iter().for_each(|stall| stall.2 = *at);
                 }
+                What::Cut { limiter, worker } => away.cuts.push(((*limiter, *worker), *at, Duration::MAX)),
+                What::Healed { limiter, worker } => {
+                    let way = (*limiter, *worker);
+                    let open = away.cuts.iter_mut().filter(|cut| cut.0 == way && cut.2 == Duration::MAX);
+                    open.for_each(|cut| cut.2 = *at);
+                }
                 What::Told { limiter, worker } => {
                     away.told.entry((*limiter, *worker)).or_insert(*at);
                 }
@@ -171,6 +187,12 @@
         away
     }
 
+    /// Whether the way was cut at any time between, or just before, as what it held back comes late.
+    fn cut(&self, limiter: usize, worker: usize, from: Duration, to: Duration) -> bool {
+        let way = (limiter, worker);
+        self.cuts.iter().any(|&(which, begun, ended)| which == way && begun <= to && ended >= from)
+    }
+
     fn killed(&self, limiter: usize, from: Duration, to: Duration) -> bool {
         self.killed.iter().any(|&(who, at)| who == limiter && at >= from && at <= to)
     }
--- a/crates/merlinreel-testbed/src/checker/jobs.rs
+++ b/crates/merlinreel-testbed/src/checker/jobs.rs
@@ -35,9 +35,10 @@
         (single_use && (again || deferred)).then_some(())
     }
 
-    /// Whether a trip came while one before it was still out.
-    pub fn two_out(&self) -> bool {
-        let out = |trip: &Trip, at| trip.over.is_none_or(|over| over > at);
+    /// Whether a trip came while one before it was still out, as far as its worker could tell: `hidden` says whether
+    /// an end might not have been seen there.
+    pub fn two_out(&self, hidden: impl Fn(&Trip, Duration) -> bool) -> bool {
+        let out = |trip: &Trip, at| trip.over.is_none_or(|over| over > at) && !hidden(trip, at);
         self.trips.iter().enumerate().any(|(i, later)| self.trips[..i].iter().any(|one| out(one, later.came)))
     }
 }
--- a/crates/merlinreel-testbed/src/checker/tests.rs
+++ b/crates/merlinreel-testbed/src/checker/tests.rs
@@ -36,7 +36,9 @@
 #[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::Left { trip: 1 }), (3, answered(429))] => vec!["no effect twice"] ; "deferred though it may have run")]
 #[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::TurnedAway { trip: 1 }), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200))] => Vec::<String>::new() ; "turned away, then elsewhere")]
 #[test_case(&[(0, asked("look")), (1, came(0, 1)), (2, What::Left { trip: 1 }), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200))] => Vec::<String>::new() ; "replayable again")]
-#[test_case(&[(0, asked("look")), (1, came(0, 1)), (2, came(1, 2)), (3, What::Ran { trip: 1 }), (4, What::Ran { trip: 2 }), (5, answered(200))] => vec!["one trip out at a time"] ; "two out")]
+#[test_case(&[(0, asked("look")), (1, came(0, 1)), (2, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200)), (400, What::Left { trip: 1 })] => vec!["one trip out at a time"] ; "two out")]
+#[test_case(&[(0, What::Cut { limiter: 0, worker: 0 }), (1, asked("look")), (2, came(0, 1)), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200)), (6, What::Healed { limiter: 0, worker: 0 }), (7, What::Left { trip: 1 })] => Vec::<String>::new() ; "the cut hid its end")]
+#[test_case(&[(0, What::Cut { limiter: 0, worker: 1 }), (1, asked("look")), (2, came(0, 1)), (3, came(1, 2)), (4, What::Ran { trip: 2 }), (5, answered(200)), (6, What::Healed { limiter: 0, worker: 1 }), (400, What::Left { trip: 1 })] => vec!["one trip out at a time"] ; "another way was cut")]
 #[test_case(&[(0, What::Told { limiter: 0, worker: 3 }), (3500, asked("look")), (3600, came(3, 1)), (3601, What::Ran { trip: 1 }), (3602, answered(200))] => vec!["drains kept"] ; "past the grace")]
 #[test_case(&[(0, What::Told { limiter: 1, worker: 3 }), (3500, asked("look")), (3600, came(3, 1)), (3601, What::Ran { trip: 1 }), (3602, answered(200))] => Vec::<String>::new() ; "another limiter was told")]
 fn each_rule_is_held(course: &[(u64, What)]) -> Vec<String> {
--- a/crates/merlinreel-testbed/src/field.rs
+++ b/crates/merlinreel-testbed/src/field.rs
@@ -105,9 +105,15 @@
             }
             Deed::Pause(j) => self.workers[j].pause(true),
             Deed::Resume(j) => self.workers[j].pause(false),
-            Deed::Cut(i, j) => self.weather(i, j, cut, cut),
-            Deed::CutBack(i, j) => self.weather(i, j, fair, cut),
-            Deed::Heal(i, j) => self.weather(i, j, fair, fair),
+            Deed::Cut(i, j) | Deed::CutBack(i, j) => {
+                self.record.tell(What::Cut { limiter: i, worker: j });
+                let there = if matches!(deed, Deed::Cut(..)) { cut } else { fair };
+                self.weather(i, j, there, cut);
+            }
+            Deed::Heal(i, j) => {
+                self.weather(i, j, fair, fair);
+                self.record.tell(What::Healed { limiter: i, worker: j });
+            }
             Deed::Break(i, j) => self.ways[i][j].break_all(),
             Deed::Silence(i) => self.agents[i].silence(true),
             Deed::Speak(i) => self.agents[i].silence(false),
--- a/crates/merlinreel-testbed/src/record.rs
+++ b/crates/merlinreel-testbed/src/record.rs
@@ -49,6 +49,15 @@
         limiter: usize,
         worker: usize,
     },
+    /// The way between them carries nothing from here on, or all again: an end on one side is not seen on the other.
+    Cut {
+        limiter: usize,
+        worker: usize,
+    },
+    Healed {
+        limiter: usize,
+        worker: usize,
+    },
     /// A fault on a limiter's process: it holds from here on, or until the next of its kind.
     Killed {
         limiter: usize,
