Errors at start and of the roster have types that say what an operator can do

Change: StationError, RosterError, RoomError, StartError (thiserror). The key at fault still comes first; what to do about it is added where it was left out. No behaviour but the words.

--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -1,15 +1,57 @@
 //! The one place where the configuration is read, checked and given defaults; a faulty key is named.
 //! Values of the environment stand in for keys that the file leaves out.
 
-use crate::limits::Limits;
+use crate::limits::{Limits, RoomError};
 use crate::log;
 use crate::mesh::Ground;
 use crate::messages::RosterNews;
-use crate::roster;
+use crate::roster::{self, RosterError};
 use merlinreel_settings::{Paths, Terms};
 use serde::Deserialize;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use thiserror::Error;
+
+/// What is wrong with a configuration: the key at fault first, then what it should be.
+#[derive(Debug, Error)]
+pub enum StationError {
+    #[error("PROXY_CONFIG is not set: it names the configuration file")]
+    NoFile,
+    #[error("{path}: {error}; the file must be there and readable by the limiter's user")]
+    Unread { path: String, error: std::io::Error },
+    #[error("{path}: {error}")]
+    In { path: String, error: Box<StationError> },
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{key}: {error}")]
+    Key { key: String, error: serde_json::Error },
+    #[error("{key}: is missing, and {variable} is not set")]
+    Missing { key: &'static str, variable: &'static str },
+    #[error("{variable}: '{given}' is no address and port")]
+    NoAddress { variable: &'static str, given: String },
+    #[error("settings: is missing")]
+    NoSettings,
+    #[error("{0}")]
+    Settings(String),
+    #[error("setting {key}: is missing")]
+    SettingMissing { key: String },
+    #[error("setting {key}.name: is missing or stands there twice")]
+    Name { key: String },
+    #[error("setting {0}: is empty")]
+    Empty(&'static str),
+    #[error("setting familyInfo.hasCounter: this limiter speaks no counter's protocol")]
+    Counter,
+    #[error("peers: {given} addresses, but setting balancers says {wanted}")]
+    Peers { given: usize, wanted: usize },
+    #[error("peers: {0} stands there twice")]
+    PeerTwice(SocketAddr),
+    #[error("seed: '{0}' is not 16 hex digits")]
+    Seed(String),
+    #[error(transparent)]
+    Room(#[from] RoomError),
+    #[error("known.{0}")]
+    Known(#[from] RosterError),
+}
 
 /// What a limiter is run with.
 #[derive(Clone, Debug)]
@@ -74,10 +116,13 @@
 const SOCKETS: u32 = 1024;
 
 /// Reads the file named by `PROXY_CONFIG`, with the environment's own values where it leaves them out.
-pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
-    let path = variable("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set: it names the configuration file")?;
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
-    parse(&text, variable).map_err(|what| format!("{path}: {what}"))
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Station, StationError> {
+    let path = variable("PROXY_CONFIG").ok_or(StationError::NoFile)?;
+    let text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) => return Err(StationError::Unread { path, error }),
+    };
+    parse(&text, variable).map_err(|error| StationError::In { path, error: Box::new(error) })
 }
 
 /// Reads the file again, for a limiter that runs. The address of discovery and the settings are taken over (of
@@ -121,41 +166,42 @@
 }
 
 /// Checks a configuration; a complaint begins with the key at fault.
-pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Station, String> {
+pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Station, StationError> {
     let (mut json, mut track) = (serde_json::Deserializer::from_str(text), serde_path_to_error::Track::new());
     let mut unknown = Vec::new();
     let reader = serde_path_to_error::Deserializer::new(&mut json, &mut track);
     let file = serde_ignored::deserialize(reader, |path| unknown.push(path.to_string()));
     let file: File = file.and_then(|file| json.end().map(|()| file)).map_err(|error| {
         let key = track.path().to_string();
-        if key == "." { error.to_string() } else { format!("{key}: {error}") }
+        if key == "." { StationError::Json(error) } else { StationError::Key { key, error } }
     })?;
     // Discovery's lists may hold more than is read here.
     unknown.retain(|key| !key.starts_with("known."));
-    let address = |key: &str, given: Option<SocketAddr>, name: &str| match (given, variable(name)) {
+    let address = |key, given: Option<SocketAddr>, variable_named| match (given, variable(variable_named)) {
         (Some(address), _) => Ok(address),
-        (None, Some(text)) => text.parse().map_err(|_| format!("{name}: '{text}' is no address and port")),
-        (None, None) => Err(format!("{key}: is missing, and {name} is not set")),
+        (None, Some(given)) => {
+            given.parse().map_err(|_| StationError::NoAddress { variable: variable_named, given })
+        }
+        (None, None) => Err(StationError::Missing { key, variable: variable_named }),
     };
-    let settings = file.settings.ok_or("settings: is missing")?;
-    let terms = Terms::read(&Paths::from_json(&settings)?)?;
+    let settings = file.settings.ok_or(StationError::NoSettings)?;
+    let terms = Paths::from_json(&settings).and_then(|paths| Terms::read(&paths));
+    let terms = terms.map_err(StationError::Settings)?;
     checked(&terms)?;
     if terms.peers.letters && file.peer_listen.is_some() {
         let (given, wanted) = (file.peers.len(), terms.peers.limiters as usize);
         if given != wanted {
-            return Err(format!("peers: {given} addresses, but setting balancers says {wanted}"));
+            return Err(StationError::Peers { given, wanted });
         }
         let mut seen = HashSet::new();
         if let Some(twice) = file.peers.iter().find(|&peer| !seen.insert(peer)) {
-            return Err(format!("peers: {twice} stands there twice"));
+            return Err(StationError::PeerTwice(*twice));
         }
     }
     let seed = match file.seed {
         None => std::process::id().into(),
         Some(Seed::Number(seed)) => seed,
-        Some(Seed::Hex(text)) => {
-            u64::from_str_radix(&text, 16).map_err(|_| format!("seed: '{text}' is not 16 hex digits"))?
-        }
+        Some(Seed::Hex(text)) => u64::from_str_radix(&text, 16).map_err(|_| StationError::Seed(text))?,
     };
     Ok(Station {
         name: file.name.or_else(|| variable("PROXY_NAME")).unwrap_or_else(|| "merlinreel".to_owned()),
@@ -174,32 +220,32 @@
             file.limits.memory_mb.unwrap_or(MEMORY_MB),
             &terms,
         )?,
-        known: file.known.map(RosterNews::try_from).transpose().map_err(|what| format!("known.{what}"))?,
+        known: file.known.map(RosterNews::try_from).transpose()?,
         terms,
         unknown,
     })
 }
 
 /// What the bench may leave out, but sockets need.
-fn checked(terms: &Terms) -> Result<(), String> {
+fn checked(terms: &Terms) -> Result<(), StationError> {
     if terms.peers.counter {
-        return Err("setting familyInfo.hasCounter: this limiter speaks no counter's protocol".to_owned());
+        return Err(StationError::Counter);
     }
     let needed = [("classes", &terms.wire.categories), ("packages", &terms.wire.plans)];
     for (list, names) in needed {
         if names.is_empty() {
-            return Err(format!("setting {list}: is empty"));
+            return Err(StationError::Empty(list));
         }
         let mut seen = HashSet::new();
         for (i, name) in names.iter().enumerate() {
             if name == "-" || !seen.insert(name) {
-                return Err(format!("setting {list}.{i}.name: is missing or stands there twice"));
+                return Err(StationError::Name { key: format!("{list}.{i}") });
             }
         }
     }
     for (i, category) in terms.categories.iter().enumerate() {
         if category.outer_limit.is_zero() {
-            return Err(format!("setting classes.{i}.hardLimitS: is missing"));
+            return Err(StationError::SettingMissing { key: format!("classes.{i}.hardLimitS") });
         }
     }
     Ok(())
@@ -217,7 +263,7 @@
 
     fn complaint(from: &str, to: &str) -> String {
         assert!(GOOD.contains(from), "{from}");
-        parse(&GOOD.replace(from, to), |_| None).map(|_| ()).expect_err("this is faulty")
+        parse(&GOOD.replace(from, to), |_| None).expect_err("this is faulty").to_string()
     }
 
     #[test]
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -2,6 +2,16 @@
 
 use merlinreel_settings::Terms;
 use std::time::Duration;
+use thiserror::Error;
+
+/// Too little to run on.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum RoomError {
+    #[error("limits.memory_mb: {given} is too little, {needed} are needed; give the limiter more memory")]
+    Memory { given: u32, needed: usize },
+    #[error("limits.sockets: {given} is too few, {needed} are needed; raise the limit on descriptors")]
+    Sockets { given: u32, needed: usize },
+}
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -81,20 +91,17 @@
 const CONNECTION_KB: usize = 64;
 
 impl Limits {
-    pub fn new(sockets: u32, memory_mb: u32, terms: &Terms) -> Result<Limits, String> {
+    pub fn new(sockets: u32, memory_mb: u32, terms: &Terms) -> Result<Limits, RoomError> {
         // A fifth for clients' bodies, most of which are far smaller than they may be.
         let bodies = memory_mb as usize * 1024 / 5;
         // And a tenth for answers that are larger than most.
         let answers = bodies / 2;
         let memory = (memory_mb as usize * 1024).checked_sub(PROGRAM_MB * 1024 + bodies + answers);
         let by_memory = memory.map(|kb| kb / CONNECTION_KB).filter(|&connections| connections >= 32);
-        let by_memory = by_memory.ok_or(format!(
-            "limits.memory_mb: {memory_mb} is too little, {} are needed",
-            ((PROGRAM_MB * 1024 + 32 * CONNECTION_KB) * 10 / 7).div_ceil(1024)
-        ))?;
+        let needed = ((PROGRAM_MB * 1024 + 32 * CONNECTION_KB) * 10 / 7).div_ceil(1024);
+        let by_memory = by_memory.ok_or(RoomError::Memory { given: memory_mb, needed })?;
         let by_sockets = (sockets as usize).checked_sub(OWN).filter(|&left| left >= 32);
-        let by_sockets =
-            by_sockets.ok_or(format!("limits.sockets: {sockets} is too few, {} are needed", OWN + 32))?;
+        let by_sockets = by_sockets.ok_or(RoomError::Sockets { given: sockets, needed: OWN + 32 })?;
         let room = by_sockets.min(by_memory);
         // A job holds its client's connection and at most one to a server; clients keep idle ones too.
         let servers = room * 2 / 5;
--- a/crates/merlinreel/src/main.rs
+++ b/crates/merlinreel/src/main.rs
@@ -3,40 +3,59 @@
 use merlinreel::config;
 use std::os::unix::process::CommandExt;
 use std::process::{Command, ExitCode};
+use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+/// Why the limiter did not start, or ended by itself.
+#[derive(Debug, Error)]
+enum StartError {
+    #[error("PROXY_LISTEN_FD: '{0}' is no descriptor; it takes the number of the socket handed down")]
+    NoDescriptor(String),
+    #[error("PROXY_LISTEN_FD: the program could not take it over: {0}")]
+    TakeOver(std::io::Error),
+    #[error("PROXY_LISTEN_FD: not a listening TCP socket: {0}")]
+    NotListening(std::io::Error),
+    #[error("PROXY_LISTEN_FD: no socket there; it must be open in this process before the program starts")]
+    NoSocket,
+    #[error("signals can't be heard: {0}")]
+    Signals(std::io::Error),
+    #[error(transparent)]
+    Station(#[from] config::StationError),
+    #[error(transparent)]
+    Ended(#[from] std::io::Error),
+}
+
 /// The clients' listening socket, where the platform hands one down: as `$PROXY_LISTEN_FD` on days of upgrades,
 /// or in systemd's form. The first is put into the second by this process's replacing its own image once (the
 /// same process, no child), as the `listenfd` crate reads only that; guards against binding an address that the
 /// platform holds, which ends the limiter at start.
-fn inherited() -> Result<Option<std::net::TcpListener>, String> {
+fn inherited() -> Result<Option<std::net::TcpListener>, StartError> {
     let variable = |name| std::env::var(name).ok();
     if let Some(descriptor) = variable("PROXY_LISTEN_FD") {
-        let number: u32 =
-            descriptor.parse().map_err(|_| format!("PROXY_LISTEN_FD: '{descriptor}' is no descriptor"))?;
+        let number: u32 = descriptor.parse().map_err(|_| StartError::NoDescriptor(descriptor.clone()))?;
         let own = std::process::id().to_string();
         let told = variable("LISTEN_FDS_FIRST_FD") == Some(number.to_string())
             && variable("LISTEN_FDS").as_deref() == Some("1")
             && variable("LISTEN_PID") == Some(own.clone());
         if !told {
-            let program = std::env::current_exe().map_err(|error| format!("PROXY_LISTEN_FD: {error}"))?;
+            let program = std::env::current_exe().map_err(StartError::TakeOver)?;
             let error = Command::new(program)
                 .args(std::env::args_os().skip(1))
                 .env("LISTEN_FDS", "1")
                 .env("LISTEN_FDS_FIRST_FD", number.to_string())
                 .env("LISTEN_PID", own)
                 .exec();
-            return Err(format!("PROXY_LISTEN_FD: the program could not take it over: {error}"));
+            return Err(StartError::TakeOver(error));
         }
     }
     let mut handed = listenfd::ListenFd::from_env();
     if handed.len() == 0 {
         return Ok(None);
     }
-    let what = |error: std::io::Error| format!("PROXY_LISTEN_FD: not a listening TCP socket: {error}");
-    let listener = handed.take_tcp_listener(0).map_err(what)?.ok_or("PROXY_LISTEN_FD: no socket there")?;
-    listener.set_nonblocking(true).map_err(what)?;
+    let listener =
+        handed.take_tcp_listener(0).map_err(StartError::NotListening)?.ok_or(StartError::NoSocket)?;
+    listener.set_nonblocking(true).map_err(StartError::NotListening)?;
     Ok(Some(listener))
 }
 
@@ -50,8 +69,8 @@
     other
 }
 
-async fn run(handed: Option<std::net::TcpListener>) -> Result<(), String> {
-    let of = |kind| signal(kind).map_err(|error| error.to_string());
+async fn run(handed: Option<std::net::TcpListener>) -> Result<(), StartError> {
+    let of = |kind| signal(kind).map_err(StartError::Signals);
     // Before all else: a signal that nobody listens for ends the program.
     let (mut asked, mut again) = (of(SignalKind::terminate())?, of(SignalKind::hangup())?);
     let station = config::read(|name| std::env::var(name).ok())?;
@@ -77,22 +96,19 @@
         asked.recv().await;
     };
     let turns = merlinreel::Turns { settings, discovery, ground };
-    merlinreel::run(station, handed, figures, turns, stop).await.map_err(|error| error.to_string())
+    Ok(merlinreel::run(station, handed, figures, turns, stop).await?)
+}
+
+fn begin() -> Result<(), StartError> {
+    let handed = inherited()?;
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(run(handed))
 }
 
 fn main() -> ExitCode {
-    let handed = match inherited() {
-        Ok(handed) => handed,
-        Err(what) => {
-            eprintln!("merlinreel: {what}");
-            return ExitCode::FAILURE;
-        }
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(|error| error.to_string()).and_then(|runtime| runtime.block_on(run(handed))) {
+    match begin() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("merlinreel: {what}");
+        Err(error) => {
+            eprintln!("merlinreel: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -13,11 +13,37 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
+/// Why a call to discovery brought no list. The list before stands.
+#[derive(Debug, Error)]
+pub enum RosterError {
+    #[error("no connection within {0:?}; see whether the agent on this machine runs")]
+    NoConnection(Duration),
+    #[error("{0}; see whether the agent on this machine runs")]
+    Connection(#[from] std::io::Error),
+    #[error("no answer within {0:?}; the agent is silent, or its discovery is down")]
+    NoAnswer(Duration),
+    #[error("{0}; the connection to the agent broke")]
+    Broken(#[from] hyper::Error),
+    #[error("discovery answers {0}; see its own log")]
+    Status(StatusCode),
+    #[error("{0}; the agent's answer broke off, or is longer than any list may be")]
+    Body(String),
+    #[error("{0}; the agent's answer is no list")]
+    Malformed(#[from] serde_json::Error),
+    #[error("{0}")]
+    Call(#[from] hyper::http::Error),
+    #[error("instances[{place}].hostPort: '{given}' is no address and port")]
+    Address { place: usize, given: String },
+    #[error("instances[{place}].lifecycle: unknown '{given}'; up, draining and removed are known")]
+    Lifecycle { place: usize, given: String },
+}
+
 /// A message of discovery as it stands on the wire.
 #[derive(Deserialize)]
 pub struct Message {
@@ -44,18 +70,19 @@
 }
 
 impl TryFrom<Message> for RosterNews {
-    type Error = String;
+    type Error = RosterError;
 
-    fn try_from(message: Message) -> Result<RosterNews, String> {
+    fn try_from(message: Message) -> Result<RosterNews, RosterError> {
         let listed = |(i, one): (usize, Instance)| {
             let standing = match one.lifecycle.as_str() {
                 "up" => Standing::Up,
                 "draining" => Standing::Draining,
                 "removed" => Standing::Gone,
-                other => return Err(format!("instances[{i}].lifecycle: unknown '{other}'")),
+                other => return Err(RosterError::Lifecycle { place: i, given: other.to_owned() }),
             };
             let address = one.host_port.parse();
-            let address = address.map_err(|_| format!("instances[{i}].hostPort: '{}'", one.host_port))?;
+            let address =
+                address.map_err(|_| RosterError::Address { place: i, given: one.host_port.clone() })?;
             Ok(Listed {
                 name: one.instance_id,
                 address,
@@ -71,8 +98,8 @@
     }
 }
 
-pub fn decode(bytes: &[u8]) -> Result<RosterNews, String> {
-    let message: Message = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+pub fn decode(bytes: &[u8]) -> Result<RosterNews, RosterError> {
+    let message: Message = serde_json::from_slice(bytes)?;
     message.try_into()
 }
 
@@ -88,11 +115,11 @@
     }
 }
 
-async fn dial(discovery: SocketAddr, within: Duration) -> Result<Line, String> {
-    let stream = timeout(within, TcpStream::connect(discovery)).await.map_err(|_| "no connection")?;
-    let stream = stream.map_err(|error| error.to_string())?;
+async fn dial(discovery: SocketAddr, within: Duration) -> Result<Line, RosterError> {
+    let stream = timeout(within, TcpStream::connect(discovery)).await;
+    let stream = stream.map_err(|_| RosterError::NoConnection(within))??;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(Line { sender, task })
 }
@@ -102,15 +129,15 @@
     discovery: SocketAddr,
     path: String,
     most: usize,
-) -> Result<RosterNews, String> {
-    let request = Request::get(path).header(HOST, discovery.to_string()).body(Empty::new());
-    let request = request.map_err(|error| error.to_string())?;
-    line.sender.ready().await.map_err(|error| error.to_string())?;
-    let answer = line.sender.send_request(request).await.map_err(|error| error.to_string())?;
+) -> Result<RosterNews, RosterError> {
+    let request = Request::get(path).header(HOST, discovery.to_string()).body(Empty::new())?;
+    line.sender.ready().await?;
+    let answer = line.sender.send_request(request).await?;
     if answer.status() != StatusCode::OK {
-        return Err(format!("discovery answers {}", answer.status()));
+        return Err(RosterError::Status(answer.status()));
     }
-    let body = Limited::new(answer.into_body(), most).collect().await.map_err(|error| error.to_string())?;
+    let body = Limited::new(answer.into_body(), most).collect().await;
+    let body = body.map_err(|error| RosterError::Body(error.to_string()))?;
     decode(&body.to_bytes())
 }
 
@@ -187,7 +214,7 @@
             let news = ask(&mut at, discovery, path, limits.roster).await?;
             Ok((at, news))
         };
-        match timeout(call.late, answer).await.unwrap_or_else(|_| Err("no answer".to_owned())) {
+        match timeout(call.late, answer).await.unwrap_or(Err(RosterError::NoAnswer(call.late))) {
             Ok((at, news)) => {
                 line = Some(at);
                 version = Some(news.version);
@@ -231,7 +258,7 @@
             weight: 1.5,
             up_since: Some(Duration::from_millis(1_800_000_000_250)),
         };
-        assert_eq!(news, Ok(RosterNews { version: 43, whole: false, servers: vec![listed] }));
+        assert_eq!(news.ok(), Some(RosterNews { version: 43, whole: false, servers: vec![listed] }));
     }
 
     /// From a watch's falling silent, at worst as it begins, to the answer of a call that discovery takes: so many
@@ -254,7 +281,7 @@
         "instances[0].lifecycle: unknown 'odd'" ; "unknown state")]
     #[test_case("{", "EOF" ; "cut short")]
     fn a_malformed_message_is_not_taken(text: &str, begins: &str) {
-        let complaint = decode(text.as_bytes()).expect_err("malformed");
+        let complaint = decode(text.as_bytes()).expect_err("malformed").to_string();
         assert!(complaint.starts_with(begins), "{complaint}");
     }
 }
