The driver's desk and tests in files of their own: behaviour unchanged

Change: driver/desk.rs and driver/tests.rs. Lines moved, visibility, nothing else.

Measured: all tests as before.

--- /dev/null
+++ b/crates/merlinreel/src/driver/desk.rs
@@ -0,0 +1,195 @@
+//! What decisions are carried out with: jobs that are held, trips that are out, servers and letters.
+
+use super::Clock;
+use crate::log;
+use crate::messages::{Answer, Parcel, TripNews};
+use crate::peers::Post;
+use crate::servers::{Errand, Link, Servers};
+use merlinreel_core::*;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// A trip that is out: of which job, which number, where, and by which connection.
+pub struct Out {
+    pub job: u32,
+    pub trip: u32,
+    pub server: u32,
+    pub link: Link,
+}
+
+/// A job that is held.
+pub struct Held {
+    pub ticket: u64,
+    pub until: Instant,
+    pub parcel: Arc<Parcel>,
+    pub answer: Option<oneshot::Sender<Answer>>,
+    pub trips: u32,
+    /// Serial numbers of the trips that are out, with their own numbers.
+    pub out: Vec<(u32, u64)>,
+}
+
+/// Everything that decisions are carried out with.
+pub struct Desk {
+    pub clock: Clock,
+    pub servers: Servers,
+    pub post: Option<Post>,
+    /// Trips end so long before the client gives up.
+    pub margin: Duration,
+    pub held: Vec<Option<Held>>,
+    pub free: Vec<u32>,
+    pub tickets: HashMap<u64, u32>,
+    pub trips: HashMap<u64, Out>,
+    pub serial: u64,
+    /// Trips that could not begin: news for the next round.
+    pub unsent: Vec<TripEnd>,
+    /// Jobs that may be over once the round is.
+    pub closed: Vec<u32>,
+    pub wake_at: Option<Instant>,
+    pub now: Instant,
+}
+
+impl Desk {
+    pub fn held(&mut self, job: u32) -> Option<&mut Held> {
+        self.held.get_mut(job as usize).and_then(Option::as_mut)
+    }
+
+    /// The client's final answer; there is none after it.
+    pub fn answer(&mut self, job: u32, answer: Answer) {
+        let Some(held) = self.held(job) else { return };
+        if let Some(client) = held.answer.take() {
+            let ticket = held.ticket;
+            // A client that left meanwhile needs none.
+            let _ = client.send(answer);
+            self.tickets.remove(&ticket);
+            self.closed.push(job);
+        }
+    }
+
+    pub fn forget_client(&mut self, job: u32) {
+        if let Some(held) = self.held(job) {
+            held.answer = None;
+            self.closed.push(job);
+        }
+    }
+
+    /// An index is free again once its job is answered and no trip is out.
+    pub fn free_if_over(&mut self, job: u32) {
+        if self.held(job).is_some_and(|held| held.answer.is_none() && held.out.is_empty()) {
+            self.held[job as usize] = None;
+            self.free.push(job);
+        }
+    }
+
+    /// The first good answer goes to the client as it stands.
+    pub fn end_trip(&mut self, end: TripNews) -> Option<TripEnd> {
+        let out = self.trips.remove(&end.serial)?;
+        if end.reusable {
+            self.servers.keep(out.server, out.link);
+        }
+        let held = self.held(out.job)?;
+        held.out.retain(|&(_, serial)| serial != end.serial);
+        if let Some(delivery) = end.delivery {
+            self.answer(out.job, Answer::Fulfilled(delivery));
+        }
+        self.closed.push(out.job);
+        let finished = self.held(out.job).is_none_or(|held| held.answer.is_none());
+        Some(TripEnd {
+            job: out.job,
+            trip: out.trip,
+            server: out.server,
+            ending: end.ending,
+            took: end.took,
+            finished,
+            units: end.units,
+            metered: None,
+            load: end.load,
+        })
+    }
+}
+
+impl Writer for Desk {
+    fn send(&mut self, job: u32, server: u32, limit: Option<Duration>) {
+        let (now, margin, serial) = (self.now, self.margin, self.serial + 1);
+        let Some(held) = self.held(job) else { return };
+        let trip = held.trips;
+        held.trips += 1;
+        let until = held.until.checked_sub(margin).unwrap_or(held.until);
+        let until = limit.map_or(until, |limit| until.min(now + limit));
+        let errand = Errand { serial, parcel: held.parcel.clone(), started: now, until };
+        let link = if until > now { self.servers.send(server, errand) } else { None };
+        if let Some(link) = link {
+            self.serial = serial;
+            self.trips.insert(serial, Out { job, trip, server, link });
+            if let Some(held) = self.held(job) {
+                held.out.push((trip, serial));
+            }
+            return;
+        }
+        let finished = self.held(job).is_none_or(|held| held.answer.is_none());
+        self.unsent.push(TripEnd {
+            job,
+            trip,
+            server,
+            ending: Ending::Unsent,
+            took: Duration::ZERO,
+            finished,
+            units: None,
+            metered: None,
+            load: Load::default(),
+        });
+    }
+
+    fn defer(&mut self, job: u32, retry_after: Option<Duration>) {
+        self.answer(job, Answer::Deferred(retry_after));
+    }
+
+    fn scrap(&mut self, job: u32) {
+        self.answer(job, Answer::Scrapped);
+    }
+
+    fn revoke(&mut self, job: u32, trip: u32) {
+        let out = self.held(job).and_then(|held| held.out.iter().find(|(n, _)| *n == trip).copied());
+        if let Some(out) = out.and_then(|(_, serial)| self.trips.get(&serial).map(|out| (serial, out))) {
+            out.1.link.abandon(out.0);
+        }
+    }
+
+    fn probe(&mut self, server: u32) {
+        self.servers.probe(server);
+    }
+
+    fn tell(&mut self, limiter: u32, letter: &[u8]) {
+        if let Some(post) = &self.post {
+            post.tell(limiter, letter);
+        }
+    }
+
+    /// A configuration with a counter is refused at start.
+    fn count(&mut self, customer: u64, window: u64, _: f64, _: Duration) {
+        log!("no counter to tell of customer {customer}, window {window}");
+    }
+
+    /// The roster is always watched.
+    fn follow_roster(&mut self, _: bool) {}
+
+    fn ask_roster(&mut self) {}
+
+    fn close_idle(&mut self, server: u32) {
+        self.servers.close_idle(server);
+    }
+
+    fn forget(&mut self, server: u32) {
+        self.servers.forget(server);
+    }
+
+    fn wake(&mut self, after: Duration) {
+        let at = self.now + after;
+        self.wake_at = Some(self.wake_at.map_or(at, |set| set.min(at)));
+    }
+
+    fn note(&mut self, text: &str) {
+        log!("{text}");
+    }
+}
--- /dev/null
+++ b/crates/merlinreel/src/driver/tests.rs
@@ -0,0 +1,82 @@
+use super::*;
+use crate::messages::Queue;
+use crate::messages::{Parcel, TripNews};
+use tokio::sync::oneshot;
+
+#[test]
+fn the_clock_is_unix_time_and_only_runs_forward() {
+    let clock = Clock::start();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+    assert!(unix.abs_diff(clock.at(Instant::now())) < Duration::from_secs(60));
+    let later = clock.started + Duration::from_secs(3600);
+    assert_eq!(clock.at(later), clock.at(clock.started) + Duration::from_secs(3600));
+}
+
+/// A driver that holds one job at most, and an arrival of that ticket.
+fn driver() -> (Driver, Queue, mpsc::Receiver<News>) {
+    let settings = serde_json::json!({"classes": [{"idempotency": "non_idempotent", "promiseS": 30.0,
+        "hardLimitS": 60.0}], "packages": [{"unitsPerS": 9.0, "mostAtOnce": 9.0}],
+        "policyLimits": {"mostHeld": 1, "mayCancel": true}});
+    let paths = merlinreel_settings::Paths::from_json(&settings);
+    let terms = paths.and_then(|paths| merlinreel_settings::Terms::read(&paths)).expect("sound");
+    let limits = crate::limits::Limits::new(1024, 192, &terms).expect("room");
+    let (queue, news) = mpsc::channel(16);
+    let figures = Figures::new(&[]);
+    let servers = Servers::new(limits, &terms, queue.clone(), figures.clone());
+    (Driver::new(terms.limiter(7), servers, None, Clock::start(), figures), queue, news)
+}
+
+fn arrival(ticket: u64) -> (News, oneshot::Receiver<Answer>) {
+    let (answer, answered) = oneshot::channel();
+    let job = Job {
+        job: 0,
+        customer: 7,
+        plan: 0,
+        category: 0,
+        units: 1.0,
+        time_left: Duration::ZERO,
+        set_size: 1,
+        set_first: 0,
+        again: false,
+    };
+    let (method, uri, headers, body, claim) = Default::default();
+    let until = Instant::now() + Duration::from_secs(60);
+    let parcel = Parcel { method, uri, headers, body, claim };
+    (News::Arrival(Box::new(Arrival { ticket, job, until, parcel, answer })), answered)
+}
+
+#[tokio::test]
+async fn what_cannot_be_held_is_deferred_and_a_leaving_makes_room() {
+    let (mut driver, _queue, _news) = driver();
+    let ((first, mut waits), (second, mut deferred)) = (arrival(1), arrival(2));
+    // All that waits goes into one round, in order.
+    driver.step(&mut vec![first, second]);
+    assert!(waits.try_recv().is_err());
+    assert!(matches!(deferred.try_recv(), Ok(Answer::Deferred(None))));
+    let (third, mut held) = arrival(3);
+    driver.step(&mut vec![News::Left(1), News::Left(99)]);
+    assert!(driver.desk.held.iter().all(Option::is_none) && driver.desk.tickets.is_empty());
+    driver.step(&mut vec![third]);
+    assert!(held.try_recv().is_err() && driver.desk.held.len() == 1);
+    assert!(driver.desk.wake_at.is_some());
+}
+
+#[tokio::test]
+async fn an_end_told_twice_or_of_no_trip_changes_nothing() {
+    let (mut driver, _queue, _news) = driver();
+    let end = TripNews {
+        serial: 5,
+        ending: Ending::Fulfilled,
+        took: Duration::ZERO,
+        units: None,
+        load: Load::default(),
+        delivery: None,
+        reusable: false,
+    };
+    assert!(driver.desk.end_trip(end).is_none());
+    let (first, mut waits) = arrival(1);
+    driver.step(&mut vec![first]);
+    driver.desk.scrap(0);
+    driver.desk.defer(0, None);
+    assert!(matches!(waits.try_recv(), Ok(Answer::Scrapped)));
+}
