Tests' processes get ports that the system gives to no connection of its own

Cause: four runs of the socket tests side by side: one failed, "the program never was ready": the process that had been killed was started again at a port from the system's own range, which a connection had taken meanwhile (free_address, config.rs of the test bed). Ruled out: the program, which ended by saying that its address was in use.

Change: ports from 10,240 to 30,239, from a place that follows the test process's number, tried before they are given.

Measured: four runs side by side again, all 56 tests pass in each.

--- a/crates/merlinreel-testbed/src/config.rs
+++ b/crates/merlinreel-testbed/src/config.rs
@@ -2,12 +2,24 @@
 
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering};
 
-/// An address whose port was free a moment ago, for TCP and UDP.
+/// Ports given out here, below those that the system takes for connections of its own.
+const FIRST: u32 = 10_240;
+const PORTS: u32 = 20_000;
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// An address whose port was free a moment ago, for TCP and UDP. Guards a process that is killed and started again at
+/// the same address against a connection that the system gave its port meanwhile; other tests' processes begin
+/// elsewhere in the range.
 pub fn free_address() -> SocketAddr {
-    let (tcp, udp) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
-    drop(udp);
-    tcp.and_then(|socket| socket.local_addr()).expect("a free port")
+    let begin = std::process::id().wrapping_mul(7919);
+    let mut candidates = (0..PORTS).map(|_| {
+        let port = FIRST + begin.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        SocketAddr::from(([127, 0, 0, 1], port as u16))
+    });
+    let free = |at: &SocketAddr| TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok();
+    candidates.find(free).expect("a free port")
 }
 
 /// A server as discovery lists it.
