--- a/crates/merlinreel/src/clients/tests.rs
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -35,15 +35,22 @@
 const LOOK: &[u8] = b"GET /look?key=7 HTTP/1.1\r\nX-Txn: 9b\r\nX-Lane: look\r\nX-Plan: team\r\n\
     X-Remaining: 8000m\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n";
 
-/// Asked to give way, with a first request that came in unseen: it has its answer.
-#[tokio::test]
-async fn what_came_in_unseen_is_answered() -> std::io::Result<()> {
-    use std::io::{Read, Write};
+/// A client that wrote something, and its connection as it was accepted.
+fn came_with(text: &[u8]) -> std::io::Result<(std::net::TcpStream, TcpStream)> {
+    use std::io::Write;
     let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
     let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
-    client.write_all(b"GET /up HTTP/1.1\r\n\r\n")?;
+    client.write_all(text)?;
     let (stream, _) = listener.accept()?;
     stream.set_nonblocking(true)?;
+    Ok((client, TcpStream::from_std(stream)?))
+}
+
+/// Asked to give way, with a first request that came in unseen: it has its answer.
+#[tokio::test]
+async fn what_came_in_unseen_is_answered() -> std::io::Result<()> {
+    use std::io::Read;
+    let (mut client, stream) = came_with(b"GET /up HTTP/1.1\r\n\r\n")?;
     let (queue, _news) = mpsc::channel(1);
     let asked = guest(0, 1.0, None);
     asked.evicted.store(true, Ordering::Relaxed);
@@ -51,7 +58,7 @@
     let door =
         Door::new(limits(), watch::channel(Arc::new(Tuned::first(terms()))).1, queue, Figures::new(&[]));
     door.opened.store(true, Ordering::Relaxed);
-    door.serve(TcpStream::from_std(stream)?, asked).await;
+    door.serve(stream, asked).await;
     let mut answer = String::new();
     client.read_to_string(&mut answer)?;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -73,21 +80,16 @@
 /// without a second request: it gets all. Guards against closing the connection under the last bytes.
 #[tokio::test]
 async fn a_slow_reader_gets_the_whole_of_its_answer() -> std::io::Result<()> {
-    use std::io::{Read, Write};
+    use std::io::Read;
     const LENGTH: usize = 24 << 20;
-    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
-    client.write_all(LOOK)?;
-    let (stream, _) = listener.accept()?;
-    stream.set_nonblocking(true)?;
+    let (mut client, stream) = came_with(LOOK)?;
     let (queue, mut news) = mpsc::channel(9);
     let limits = Limits { client_whole: Duration::from_millis(40), ..limits() };
     let door =
         Door::new(limits, watch::channel(Arc::new(Tuned::first(looking()))).1, queue, Figures::new(&[]));
     let one = guest(0, 0.0, None);
     tokio::spawn(async move {
-        door.serve(TcpStream::from_std(stream)?, one).await;
-        std::io::Result::Ok(())
+        door.serve(stream, one).await;
     });
     let Some(News::Arrival(arrival)) = news.recv().await else { panic!("no job") };
     let body = Bytes::from(vec![b'x'; LENGTH]);
@@ -173,19 +175,13 @@
 /// longest outer limit, counted as 3 s at most, and 0.7 s after the signal. Guards it against being in hand then.
 #[tokio::test]
 async fn a_job_that_comes_late_ends_before_the_kill() -> std::io::Result<()> {
-    use std::io::Write;
     let limits = Limits::new(1024, 192, &looking()).expect("room");
     assert_eq!(limits.stop_end, Duration::from_millis(3300));
-    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
-    client.write_all(LOOK)?;
-    let (stream, _) = listener.accept()?;
-    stream.set_nonblocking(true)?;
+    let (_client, stream) = came_with(LOOK)?;
     let (queue, mut news) = mpsc::channel(9);
     let tuned = watch::channel(Arc::new(Tuned::first(looking()))).1;
     let door = Door::new(limits.clone(), tuned, queue, Figures::new(&[]));
     let asked = *door.asked.get_or_init(Instant::now);
-    let stream = TcpStream::from_std(stream)?;
     tokio::spawn(async move { door.serve(stream, guest(0, 0.0, None)).await });
     let Some(News::Arrival(arrival)) = news.recv().await else { panic!("no job") };
     assert_eq!(arrival.until, asked + limits.stop_end);
