--- a/crates/merlinreel-mesh/src/node.rs
+++ b/crates/merlinreel-mesh/src/node.rs
@@ -2,6 +2,10 @@
 //! called come out. Membership is SWIM by the `foca` crate; records go round by comparing stamps with one process a
 //! second, and urgent ones at once to a few, who pass them on.
 
+mod part;
+
+pub use part::{Counts, Event, Outgoing, Part};
+
 use crate::budget::{Budget, Weight};
 use crate::error::{Dropped, PublishError};
 use crate::member::Member;
@@ -9,11 +13,11 @@
 use crate::seal::{Keys, MOST_BYTES, OVERHEAD, Seal};
 use crate::wire::{MOST_ASKED, Message, decode, encode};
 use foca::{AccumulatingRuntime, Foca, NoCustomBroadcast, OwnedNotification, PostcardCodec, Timer};
+use part::swim_form;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
-use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
 /// Content of one datagram at most.
@@ -29,43 +33,6 @@
 const REJOIN: Duration = Duration::from_secs(1);
 const CALL_DEAD: Duration = Duration::from_secs(3);
 
-/// What a process takes part with.
-#[derive(Clone, Debug)]
-pub struct Part {
-    pub own: Member,
-    /// Processes to ask for the others; a process's own address among them has no effect.
-    pub seeds: Vec<SocketAddrV4>,
-    pub keys: Keys,
-    pub seed: u64,
-    /// Bytes that it may send a second, and at once.
-    pub bytes_a_second: u32,
-    pub bytes_at_once: u32,
-}
-
-/// Counts since the start, each event by its cause.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    pub dropped: BTreeMap<&'static str, u64>,
-    pub sent: u64,
-    pub sent_bytes: u64,
-    pub received: u64,
-    /// Not sent, as the budget was used up.
-    pub held_back: u64,
-}
-
-/// A datagram to send, and to whom.
-pub type Outgoing = (SocketAddrV4, Vec<u8>);
-
-/// What somebody may want to know at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
-    Up(Member),
-    /// Dead, stalled for long, or left.
-    Down(Member),
-    /// New records are held of that process.
-    Records(SocketAddrV4),
-}
-
 pub struct Node {
     foca: Foca<Member, PostcardCodec, ChaCha8Rng, NoCustomBroadcast>,
     swim: AccumulatingRuntime<Member>,
@@ -98,25 +65,6 @@
     }
 }
 
-fn swim_form() -> foca::Config {
-    let few = NonZeroUsize::new(3).unwrap_or(NonZeroUsize::MIN);
-    foca::Config {
-        probe_period: Duration::from_millis(1000),
-        probe_rtt: Duration::from_millis(300),
-        num_indirect_probes: few,
-        max_transmissions: NonZeroU8::new(8).unwrap_or(NonZeroU8::MIN),
-        // A stalled process has that long to say that it lives.
-        suspect_to_down_after: Duration::from_secs(4),
-        // A greater incarnation joins at once whatever this is; one that is taken for dead wrongly renews itself.
-        remove_down_after: Some(Duration::from_secs(600)),
-        max_packet_size: NonZeroUsize::new(MOST_CONTENT - 8).unwrap_or(NonZeroUsize::MIN),
-        notify_down_members: true,
-        periodic_announce: None,
-        periodic_announce_to_down_members: None,
-        periodic_gossip: None,
-    }
-}
-
 impl Node {
     /// Begins at `now`, by this process's monotonic clock; `unix` is the time that all agree on.
     pub fn new(part: Part, now: Duration, unix: Duration) -> Node {
