Letters pass on readings of pressed quotas; one report in some stands for small jobs

Of a customer with a quota of 35 units a second, 100 to 200 were let in each second for ten seconds while limiters read its store as half full to full. Its gatherer's inbox takes 40 letters a second and was sent far more (16 in 100 lost over the fleet, most of them there), so units and pace were undercounted and still more was let in: gather() sends a letter for each job let in. Besides, first jobs are free at each limiter that no word has reached (admits()).

Change: letters pass on two aged readings; of small jobs one report stands for some. Counting and aged readings move into store.rs and hearsay.rs, which decide nothing; tests of gathering into their own file.

--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -3,9 +3,11 @@
 //! The plain data and the writer are the interface, in `lib.rs`; `letter.rs` holds the bytes of a
 //! batch between limiters. Docs: `docs/design.md`, `docs/on-call.md`.
 
-use crate::letter::{self, Head, Row};
+use crate::hearsay::Reading;
+use crate::letter::{self, Row};
 pub use crate::state::Limiter;
 use crate::state::{Account, Listener, OpenJob, Ring, Server, Trip, secs, slot, span};
+use crate::store::window_length;
 use crate::*;
 use nanorand::Rng;
 
@@ -16,44 +18,30 @@
 
 // ---- Quotas: one account per customer, counted in clock-aligned windows ----
 
-/// The window's length starts as the design has it: the store's size over its rate.
-fn window_length(plan: &Plan) -> f64 {
-    if plan.rate > 0.0 { (plan.burst / plan.rate).max(0.1) } else { 1.0 }
-}
-
 /// What is asked is measured over some reports of each limiter, and soon forgotten after a burst.
-const ASKED_OVER: Duration = Duration::from_secs(3);
-/// How long one that asked is told by the gatherer; who goes on using a customer asks sooner again.
+pub(crate) const ASKED_OVER: Duration = Duration::from_secs(3);
+/// How long one that asked is told by the gatherer, and so how long a reading holds; who goes on using a customer asks
+/// sooner again.
 const LISTENED: Duration = Duration::from_secs(5);
 
+/// Readings passed on in a letter, beside its own rows: each of some thirty customers then reaches each limiter, which
+/// takes tens of letters a second, about once a second.
+const SAID: usize = 2;
+
 /// Departure where one limiter gathers: a try's chance. Less as the store empties and as more is asked, so
 /// use settles at the refill with a third of the store left, however old the reading is.
 fn draw(left: f64, pace: f64, plan: &Plan) -> f64 {
     (left / (pace.max(plan.rate) * window_length(plan) / 3.0)).clamp(0.0, 1.0)
 }
 
-impl Account {
-    fn new(customer: u64, plan_index: usize, plan: &Plan, peers: Peers, now: Duration) -> Account {
-        let window = (secs(now) / window_length(plan)) as u64;
-        let refill = secs(now) - window as f64 * window_length(plan);
-        Account {
-            customer,
-            plan: plan_index,
-            me: peers.me as usize,
-            window,
-            carried: plan.burst - plan.rate * refill,
-            ceiling_at: now,
-            asked_units: Ring::new(ASKED_OVER),
-            ..Account::default()
-        }
-    }
-
-    /// What the quota leaves at this moment: a store counted by windows (see `roll`).
-    fn left(&self, now: Duration, plan: &Plan) -> f64 {
-        let into = secs(now) - self.window as f64 * window_length(plan);
-        self.carried - self.spilled + plan.rate * into - self.own[0] - self.others(0)
-    }
+/// Departure where one gathers: what its gatherer or another read of a customer that asks for more than its quota goes
+/// along with each letter. Guards against hundreds of limiters each letting in a first job of a quota that is used up.
+fn passed_on(reading: &Reading, plan: &Plan) -> bool {
+    let pressed = reading.pace > plan.rate && draw(reading.left, reading.pace, plan) < 1.0;
+    pressed && reading.age < LISTENED / 2
+}
 
+impl Account {
     /// The retry-after: to the window's end, or sooner, where the even refill covers the job before.
     fn opens_in(&self, now: Duration, plan: &Plan, units: f64) -> f64 {
         let edge = window_length(plan) * (self.window + 1) as f64 - secs(now);
@@ -62,50 +50,6 @@
         edge.min(refill.max(0.05))
     }
 
-    /// Departure from the fixed windows: guards against all limiters opening together at an edge. Unused
-    /// allowance is carried over and refill comes evenly: the store of rate and burst that a quota is.
-    fn roll(&mut self, now: Duration, plan: &Plan) {
-        let length = window_length(plan);
-        let window = (secs(now) / length) as u64;
-        if window > self.window {
-            let edge = span((self.window + 1) as f64 * length);
-            let passed = (window - self.window - 1) as f64;
-            self.carried = (self.left(edge, plan) + passed * plan.rate * length).min(plan.burst);
-            self.due =
-                [false, self.shift(window) && (self.due[0] || self.own[1] != 0.0 || self.others(1) != 0.0)];
-        }
-        let over = self.left(now, plan) - plan.burst;
-        if over > 0.0 {
-            self.spilled += over;
-        }
-    }
-
-    fn add_own(&mut self, window: u64, units: f64) {
-        let Some(i) = self.place(window) else {
-            self.carried -= units;
-            return;
-        };
-        self.own[i] += units;
-        self.carried -= units * i as f64;
-        // Told twice: a lost batch is made good by the next, and totals make repeats harmless.
-        (self.news[i], self.due[i]) = (2, true);
-    }
-
-    /// A peer's total of a window. What was admitted past an empty store took nothing from it.
-    fn hear(&mut self, now: Duration, plan: &Plan, from: usize, window: u64, total: f64, floor: f64) {
-        self.roll(now, plan);
-        let Some(i) = self.place(window) else { return };
-        let before = self.others(i);
-        self.note(i, from, total);
-        let units = self.others(i) - before;
-        self.carried -= units * i as f64;
-        let left = self.left(now, plan);
-        if units > 0.0 && left < -floor {
-            self.spilled -= (-floor - left).min(units);
-        }
-        self.split_until = Duration::ZERO;
-    }
-
     /// Limiters that this quota is split over while they are blind to each other: those that used it lately,
     /// as far as they are likely to take from it in that time. A slow customer's is hardly split.
     fn sharers(&self, now: Duration, plan: &Plan, blind: f64, peers: Peers) -> f64 {
@@ -132,7 +76,7 @@
             return true;
         }
         let left = self.left(now, plan);
-        if let Some(pace) = self.pace {
+        if let Some(pace) = self.pace_known(now, LISTENED) {
             let left = left.min(self.thought(now, plan));
             return left >= units && lot <= draw(left, pace, plan);
         }
@@ -168,7 +112,7 @@
 
     /// Tells who asked of late, where what is left is not what they must think.
     fn tell_listeners(&mut self, now: Duration, plan: &Plan) {
-        let (left, asked) = (self.left(now, plan), self.asked(now));
+        let (left, asked) = (self.left(now, plan), self.asked(now, ASKED_OVER));
         let thought = draw(self.thought(now, plan), self.pace.unwrap_or(0.0), plan);
         let true_one = draw(left, asked, plan);
         // A third more or less is no more than use varies by chance.
@@ -178,17 +122,6 @@
         }
         self.listeners.retain(|listener| now < listener.heard + LISTENED);
     }
-
-    /// What one that was told must think is left: refill that others take is none it could use.
-    fn thought(&self, now: Duration, plan: &Plan) -> f64 {
-        let refill = plan.rate - self.pace.unwrap_or(0.0).min(plan.rate);
-        (self.told_left + refill * secs(now.saturating_sub(self.told_at))).min(plan.burst)
-    }
-
-    /// Units asked for in a second of late.
-    fn asked(&mut self, now: Duration) -> f64 {
-        self.asked_units.sum(now) / secs(ASKED_OVER)
-    }
 }
 
 // ---- Servers: credits, health, cold starts ----
@@ -367,15 +300,6 @@
 
     // ---- Quotas ----
 
-    fn account(&mut self, now: Duration, customer: u64, plan: usize) -> usize {
-        let i =
-            self.by_customer.get(&customer).copied().unwrap_or_else(|| {
-                self.settle(Account::new(customer, plan, &self.plans[plan], self.peers, now))
-            });
-        self.accounts[i].stir(i, &mut self.stirred);
-        i
-    }
-
     /// Drops what no window, job or letter needs. Guards the memory against customers that come once, and
     /// servers replaced without end; half a minute spares those that come back.
     fn forget(&mut self, now: Duration, out: &mut dyn Writer) {
@@ -435,16 +359,28 @@
             out.defer(job.job, self.job_rules.retry_after.then(|| span(wait)));
             return;
         }
+        // Departure where one gathers: a quarter of its inbox is for what is let in. Of small jobs one in some is
+        // reported and stands for all, lest a customer that asks much drown its gatherer and seem to ask little.
+        let heard = match account.pace_known(now, LISTENED) {
+            Some(_) if gathers => job.units * peers.inbox_per_s / (4.0 * plan.rate),
+            _ => 1.0,
+        };
+        let stands_for = if heard >= 1.0 {
+            1.0
+        } else {
+            f64::from(u8::from(self.chance.generate::<f64>() < heard)) / heard
+        };
+        let window = (!welcome && stands_for > 0.0).then_some(account.window);
+        window.into_iter().for_each(|window| account.add_own(window, job.units * stands_for));
         if !welcome {
-            account.add_own(account.window, job.units);
             account.untold += job.units;
             account.told_left -= job.units;
         }
         account.ceiling -= job.units;
         account.out += 1;
         let target = now + category.target_time.saturating_sub(elapsed);
-        let window = (!welcome).then_some(account.window);
-        *slot(&mut self.jobs, job.job) = Some(OpenJob::new(job, i, now, target, window));
+        *slot(&mut self.jobs, job.job) =
+            Some(OpenJob { stands_for, ..OpenJob::new(job, i, now, target, window) });
         self.queue.push(job.job);
     }
 
@@ -523,16 +459,22 @@
         self.letter_room = (self.letter_room + room).min(room + 4.0);
         let mut mail: Vec<(f64, Vec<Row>)> = vec![(0.0, Vec::new()); peers.limiters as usize];
         let (accounts, plans, owing) = (&mut self.accounts, &self.plans, &self.owing);
+        let mut said = Vec::new();
         self.stirred.retain(|&i| {
             let account = &mut accounts[i];
             let plan = &plans[account.plan];
             account.roll(now, plan);
             let to = account.gatherer(peers, owing);
-            if account.set_size == 0 || to == peers.me {
-                account.tell_listeners(now, plan);
+            let gathers = account.set_size > 0 && to == peers.me;
+            let reading = account.reading(now, gathers, ASKED_OVER, plan).filter(|it| passed_on(it, plan));
+            said.extend(reading.map(|reading| (i, reading)));
+            if gathers || account.set_size == 0 {
+                if gathers || !account.listeners.is_empty() {
+                    account.tell_listeners(now, plan);
+                }
                 (account.news, account.due[0], account.unasked) = ([0, 0], false, 0.0);
             }
-            let (left, pace) = (account.left(now, plan), account.asked(now));
+            let (left, pace) = (account.left(now, plan), account.asked(now, ASKED_OVER));
             let need = 1.25 - (left / plan.burst.max(1.0)).clamp(0.0, 1.0);
             let mut add = |to: u32, i: usize, total, asked, left| {
                 let row = Row { total, asked: Some(asked), left, ..account.row(i) };
@@ -575,18 +517,15 @@
                     account.asked_at = now;
                 }
             }
+            let turn = (self.letters as usize * SAID) % said.len().max(1);
+            let by_turns = said[turn..].iter().chain(&said[..turn]);
+            let shared = by_turns.filter(|(i, _)| self.accounts[*i].includes(p, peers.limiters));
+            let row = |&(i, reading): &(usize, Reading)| self.accounts[i].passed_on(reading);
+            mail[p as usize].1.extend(shared.take(SAID).map(row));
             self.post(now, p, &mail[p as usize].1, out);
         }
     }
 
-    fn post(&mut self, now: Duration, to: u32, rows: &[Row], out: &mut dyn Writer) {
-        let life = self.started.unwrap_or(now).as_millis() as u64;
-        for letter in letter::write(Head { life, number: self.letters + 1 }, rows) {
-            self.letters += 1;
-            out.tell(to, &letter);
-        }
-    }
-
     /// Malformed, stale and repeated letters change nothing.
     fn read_letter(&mut self, now: Duration, letter: &Letter) {
         let Some((head, rows)) = letter::read(&letter.bytes) else { return };
@@ -599,7 +538,8 @@
             return;
         }
         self.last_letter[from] = (head.life, head.number);
-        self.word.add(now, f64::from(u8::from(rows.iter().any(|row| row.left.is_some()))));
+        self.word
+            .add(now, f64::from(u8::from(rows.iter().any(|row| row.left.is_some() && row.age.is_none()))));
         self.owing[from] = 0;
         if head.life > life {
             // A peer that started again tells its totals from nothing; what it told before stays counted.
@@ -633,7 +573,14 @@
                 }
                 continue;
             };
-            let told = account.gatherer(self.peers, &self.owing) == letter.from;
+            let gatherer = account.gatherer(self.peers, &self.owing);
+            if let (Some(age), Some(pace)) = (row.age, row.asked) {
+                if gatherer != self.peers.me || account.set_size == 0 {
+                    account.overhear(now, plan, Reading { left, pace, age }, LISTENED);
+                }
+                continue;
+            }
+            let told = gatherer == letter.from;
             if let (Some(i), true) = (account.place(window), told) {
                 // The gatherer's reading, less what it could not know of yet.
                 account.told_left = left - account.own[..=i].iter().sum::<f64>() + row.total;
@@ -914,7 +861,7 @@
         if let (Some(units), Some(window), true) = (end.units, open.window, self.peers.settles) {
             let account = &mut self.accounts[open.account];
             account.roll(now, &self.plans[account.plan]);
-            account.add_own(window, units - open.job.units);
+            account.add_own(window, (units - open.job.units) * open.stands_for);
             account.stir(open.account, &mut self.stirred);
         }
         let stays = !open.queued && !open.trips.iter().any(|trip| trip.out);
@@ -959,7 +906,9 @@
         let account = &mut self.accounts[open.account];
         if open.trips.is_empty() {
             account.roll(now, &self.plans[account.plan]);
-            open.window.into_iter().for_each(|window| account.add_own(window, -open.job.units));
+            open.window
+                .into_iter()
+                .for_each(|window| account.add_own(window, -open.job.units * open.stands_for));
             account.stir(open.account, &mut self.stirred);
             account.ceiling += open.job.units;
         }
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -1,6 +1,8 @@
+mod gathering;
 mod helpers;
 
 use super::*;
+use crate::letter::Head;
 use helpers::*;
 use test_case::test_case;
 
@@ -9,7 +11,7 @@
 #[test_case(15.0, 3.9, 4.1, 1.2 ; "what is left goes over the edge, with no second allowance")]
 #[test_case(0.0, 1.0, 9.0, 8.0 ; "the store never holds more than its size")]
 fn window_edge(used: f64, used_at: f64, read_at: f64, left: f64) {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0), ASKED_OVER);
     account.own[0] = used;
     account.roll(at(used_at), &plan());
     account.roll(at(read_at), &plan());
@@ -20,20 +22,20 @@
 #[test_case(0.0 ; "near nothing")]
 #[test_case(1_900_000_000.0 ; "Unix time")]
 fn any_size_of_clock(start: f64) {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(start + 0.5));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(start + 0.5), ASKED_OVER);
     account.add_own(account.window, 8.0);
     account.asked_units.add(at(start + 0.5), 8.0);
     account.roll(at(start + 4.1), &plan());
     assert_eq!((account.window, account.own), (start as u64 / 4 + 1, [0.0, 8.0]));
     assert!((account.left(at(start + 4.5), &plan()) - 8.0).abs() < 1e-5);
     assert!((account.opens_in(at(start + 4.1), &plan(), 8.0) - 3.9).abs() < 1e-5);
-    assert_eq!((account.asked(at(start + 1.0)) * secs(ASKED_OVER)).round(), 8.0);
-    assert_eq!(account.asked(at(start + 30.0)), 0.0);
+    assert_eq!((account.asked(at(start + 1.0), ASKED_OVER) * secs(ASKED_OVER)).round(), 8.0);
+    assert_eq!(account.asked(at(start + 30.0), ASKED_OVER), 0.0);
 }
 
 #[test]
 fn even_refill_after_the_edge() {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0), ASKED_OVER);
     account.roll(at(1.0), &plan());
     account.own[0] = 8.0;
     account.roll(at(5.0), &plan());
@@ -43,7 +45,7 @@
 #[test_case(0, 3.0, 5.0 ; "a total of this window")]
 #[test_case(9, 3.0, 8.0 ; "a window yet to come is dropped")]
 fn hearing(window: u64, total: f64, left: f64) {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(1.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(1.0), ASKED_OVER);
     account.hear(at(1.0), &plan(), 1, window, total, 0.0);
     account.hear(at(1.0), &plan(), 1, window, total, 0.0);
     assert!((account.left(at(1.0), &plan()) - left).abs() < 1e-6);
@@ -51,7 +53,7 @@
 
 #[test]
 fn late_total_of_the_window_before_still_counts() {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(3.9));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(3.9), ASKED_OVER);
     account.own[0] = 4.0;
     account.roll(at(4.0), &plan());
     account.hear(at(4.0), &plan(), 1, 0, 3.0, 0.0);
@@ -60,7 +62,7 @@
 
 #[test]
 fn overshoot_took_nothing_from_the_store() {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(1.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(1.0), ASKED_OVER);
     account.hear(at(1.0), &plan(), 1, 0, 12.0, 0.0);
     assert!(account.left(at(1.0), &plan()).abs() < 1e-6);
 }
@@ -68,7 +70,7 @@
 #[test_case(0, 0.0, 1.0 => false ; "settled later, in the window first charged")]
 #[test_case(1, 0.0, 1.0 => true ; "settled in the present window")]
 fn settling(window: u64, before: f64, units: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(5.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(5.0), ASKED_OVER);
     account.own[0] = before;
     account.add_own(window, units);
     account.own[0] == before + units
@@ -79,7 +81,7 @@
 #[test_case(1.0, 8.0, 4.0 => true ; "after one interval the whole quota stands")]
 #[test_case(1.0, 0.5, 0.0 => false ; "nothing beyond the quota")]
 fn admitting(after: f64, left: f64, untold: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(0.0), ASKED_OVER);
     (account.set_size, account.split_until) = (2, at(0.5));
     account.carried = left - 2.0 * after;
     account.untold = untold;
@@ -92,7 +94,7 @@
 #[test_case(3.0, 2.0, 40.0 => false ; "peers cannot know yet what was taken")]
 #[test_case(1.5, 0.0, 0.0 => true ; "a slow customer's quota is hardly split")]
 fn sharing(left: f64, untold: f64, tries: f64) -> bool {
-    let mut account = Account::new(5, 0, &plan(), peers(), at(4.0));
+    let mut account = Account::new(5, 0, &plan(), peers(), at(4.0), ASKED_OVER);
     account.note(0, 1, 1.0);
     account.carried = left + 1.0;
     (account.own[0], account.untold, account.tries[0]) = (untold, untold, tries);
@@ -104,7 +106,7 @@
 #[test_case(60.0, 6.0 => false ; "up to its part of the depth")]
 fn ceiling(after: f64, units: f64) -> bool {
     let plan = Plan { ceiling_rate: 1.0, ceiling_depth: 10.0, ceiling_slack: 1.0, ..plan() };
-    let mut account = Account::new(5, 0, &plan, peers(), at(0.0));
+    let mut account = Account::new(5, 0, &plan, peers(), at(0.0), ASKED_OVER);
     account.set_size = 2;
     account.under_ceiling(at(after), &plan, units)
 }
@@ -151,7 +153,7 @@
 }
 
 fn row(total: f64, left: Option<f64>) -> Row {
-    Row { customer: 5, plan: 0, window: 0, total, asked: None, left }
+    Row { customer: 5, plan: 0, window: 0, total, asked: None, left, age: None }
 }
 
 fn letter(life: u64, number: u64, rows: &[Row]) -> Letter {
@@ -174,133 +176,6 @@
     assert!((limiter.accounts[0].left(at(1.0), &plan()) - left).abs() < 1e-6);
 }
 
-fn many() -> Peers {
-    Peers { limiters: 90, ..peers() }
-}
-
-#[test_case(8.0, 1.0 => 1.0 ; "a full store admits")]
-#[test_case(8.0 / 3.0, 2.0 => 1.0 ; "so does a third of it where no more is asked than comes back")]
-#[test_case(8.0 / 3.0, 8.0 => 0.25 ; "four times as much asked, a quarter admitted")]
-#[test_case(-1.0, 2.0 => 0.0 ; "nothing left")]
-fn chance_where_one_gathers(left: f64, pace: f64) -> f64 {
-    draw(left, pace, &plan())
-}
-
-#[test_case(2.0 => 10.0 ; "thirty units within three seconds")]
-#[test_case(6.0 => 0.0 ; "a burst is soon forgotten")]
-fn units_asked_for_of_late(read_at: f64) -> f64 {
-    let mut account = Account::new(5, 0, &plan(), many(), at(1.0));
-    account.asked_units.add(at(1.0), 30.0);
-    account.asked(at(read_at))
-}
-
-#[test_case(4 => true ; "some letters are lost")]
-#[test_case(5 => false ; "five unanswered are silence: the next of the set gathers")]
-fn gathering_limiter(unanswered: u32) -> bool {
-    let mut account = Account::new(5, 0, &plan(), many(), at(1.0));
-    (account.set_size, account.set_first) = (40, 50);
-    let first = account.gatherer(many(), &[0; 90]);
-    let mut owing = [0; 90];
-    owing[first as usize] = unanswered;
-    account.gatherer(many(), &owing) == first
-}
-
-#[test]
-fn where_one_gathers_only_it_is_told() {
-    let mut limiter = limiter(Repeats::Replayable, many());
-    let account = account(&mut limiter);
-    (account.set_size, account.set_first) = (60, 1);
-    account.add_own(0, 1.0);
-    let gatherer = account.gatherer(many(), &[0; 90]);
-    let mut notes = Notes::default();
-    limiter.sync(at(1.0), &mut notes);
-    assert_eq!(notes.letters.iter().map(|letter| letter.0).collect::<Vec<_>>(), [gatherer]);
-}
-
-/// Where one gathers, a new quota stays split over its set of sixty past a beat, until the gatherer tells
-/// what is left: else each of hundreds of limiters would take the whole store.
-#[test_case(false => 1 ; "past a beat, no word yet: the first job only")]
-#[test_case(true => 4 ; "the gatherer tells a full store: all of them")]
-fn jobs_let_in_before_the_gatherers_word(told: bool) -> usize {
-    let (mut limiter, mut notes) = (limiter(Repeats::Replayable, many()), Notes::default());
-    let job = |n: u32| Job { job: n, set_size: 60, set_first: 1, ..job() };
-    limiter.take(at(1.0), &job(0), &mut notes);
-    let word = letter(1, 1, &[Row { asked: Some(1.0), ..row(0.0, Some(8.0)) }]);
-    let from = limiter.accounts[0].gatherer(many(), &[0; 90]);
-    told.then(|| limiter.read_letter(at(1.2), &Letter { from, ..word }));
-    (1..4).for_each(|n| limiter.take(at(1.5), &job(n), &mut notes));
-    4 - notes.lines.iter().filter(|line| line.starts_with("defer")).count()
-}
-
-#[test]
-fn who_reports_is_told_what_is_left() {
-    let mut limiter = limiter(Repeats::Replayable, many());
-    let report = Row { asked: Some(6.0), ..row(3.0, None) };
-    limiter.read_letter(at(1.0), &letter(1, 1, &[report]));
-    let mut notes = Notes::default();
-    limiter.sync(at(1.0), &mut notes);
-    let rows = letter::read(&notes.letters[0].1).map(|letter| letter.1).unwrap_or_default();
-    assert_eq!((notes.letters[0].0, rows[0].total, rows[0].left), (1, 3.0, Some(5.0)));
-}
-
-/// Letters to a limiter that reports again a little later: none where it was told all that changed, as each of
-/// hundreds of reports would else draw an answer and those that matter wait; one where much more is asked for.
-#[test_case(0.0 => 0 ; "nothing changed")]
-#[test_case(60.0 => 1 ; "far more is asked for")]
-fn a_second_report(asked: f64) -> usize {
-    let mut limiter = limiter(Repeats::Replayable, many());
-    let mut notes = Notes::default();
-    for (number, when, asked) in [(1, 1.0, 6.0), (2, 1.5, asked)] {
-        notes.letters.clear();
-        let report = Row { asked: Some(asked), ..row(3.0, None) };
-        limiter.read_letter(at(when), &letter(1, number, &[report]));
-        limiter.sync(at(when), &mut notes);
-    }
-    notes.letters.len()
-}
-
-/// Whether one that only defers reports again after so long: the gatherer's inbox takes 40 a second, and a quarter of
-/// that is for such. Guards the reports that matter against those of a set of hundreds.
-#[test_case(60, 40.0, 5.0 => false ; "not yet in a set of sixty")]
-#[test_case(60, 40.0, 7.0 => true ; "then it does")]
-#[test_case(20, 40.0, 5.0 => true ; "sooner in a smaller set")]
-#[test_case(60, 0.0, 7.0 => false ; "an inbox that takes nothing is none to divide by")]
-fn asking_again(set_size: u32, inbox_per_s: f64, after: f64) -> bool {
-    let mut limiter = limiter(Repeats::Replayable, Peers { inbox_per_s, ..many() });
-    let account = account(&mut limiter);
-    account.roll(at(10.0), &plan());
-    (account.set_size, account.set_first, account.due[0]) = (set_size, 1, true);
-    account.asked_at = at(10.0 - after);
-    let mut notes = Notes::default();
-    limiter.sync(at(10.0), &mut notes);
-    !notes.letters.is_empty()
-}
-
-/// Letters in one beat of a gatherer that owes thirty limiters its word: four times its even share of the fleet's
-/// letters, else its word comes seconds late; its even share while inboxes, its own the sample, fill with such.
-#[test_case(0.0 => 12 ; "inboxes have room")]
-#[test_case(20.0 => 3 ; "inboxes fill")]
-fn letters_in_a_beat(words: f64) -> usize {
-    let mut limiter = limiter(Repeats::Replayable, many());
-    let report = Row { asked: Some(6.0), ..row(3.0, None) };
-    (1..31).for_each(|from| limiter.read_letter(at(1.0), &Letter { from, ..letter(1, 1, &[report]) }));
-    limiter.word.add(at(1.0), words);
-    let mut notes = Notes::default();
-    limiter.sync(at(1.0), &mut notes);
-    notes.letters.len()
-}
-
-#[test_case(0, 2.0 ; "its reading less what it was not told yet")]
-#[test_case(5, 5.0 ; "one that does not gather is not heeded")]
-fn reading_the_gatherer(first: u32, left: f64) {
-    let mut limiter = limiter(Repeats::Replayable, many());
-    let account = account(&mut limiter);
-    (account.set_size, account.set_first, account.own[0]) = (1, 1 + first, 3.0);
-    let told = Row { asked: Some(6.0), ..row(2.0, Some(3.0)) };
-    limiter.read_letter(at(1.0), &letter(1, 1, &[told]));
-    assert!((limiter.accounts[0].left(at(1.0), &plan()) - left).abs() < 1e-6);
-}
-
 #[test_case(Some(9.0), false => (5.0, 2.0, 0) ; "the others' part of the total")]
 #[test_case(None, false => (0.0, 2.0, 0) ; "unanswered counts as made")]
 #[test_case(None, true => (0.0, 0.0, 1) ; "turned away is due again")]
--- a/crates/merlinreel-core/src/decide/tests/helpers.rs
+++ b/crates/merlinreel-core/src/decide/tests/helpers.rs
@@ -75,6 +75,11 @@
     }
 }
 
+/// Too many to tell each other in time.
+pub fn many() -> Peers {
+    Peers { limiters: 90, ..peers() }
+}
+
 pub fn server_rules() -> ServerRules {
     ServerRules {
         zone: 0,
@@ -150,6 +155,7 @@
         give_up: at(3.0),
         trips: vec![trip],
         window: Some(0),
+        stands_for: 1.0,
         done: false,
         queued: false,
         ran: None,
--- a/crates/merlinreel-core/src/letter.rs
+++ b/crates/merlinreel-core/src/letter.rs
@@ -1,5 +1,8 @@
 //! How a batch of window counts stands in a letter between limiters: bytes only, no decisions.
 
+use crate::state::span;
+use std::time::Duration;
+
 /// A letter holds this many bytes at most.
 pub const MOST_BYTES: usize = 256;
 /// Units travel in steps of an eighth.
@@ -17,6 +20,9 @@
     pub asked: Option<f64>,
     /// What the sender holds to be left of the customer's quota, where it was asked.
     pub left: Option<f64>,
+    /// How old that reading is, where it is another's that the sender passes on. A limiter that does not know such
+    /// rows takes them for a stranger's reading, which changes nothing.
+    pub age: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -70,7 +76,9 @@
         put(&mut bytes, row.customer);
         let kind = u64::from(row.asked.is_some()) << 3 | u64::from(row.left.is_some()) << 2;
         put(&mut bytes, (row.plan as u64) << 4 | kind | row.window & 3);
-        for units in [Some(row.total), row.asked, row.left].into_iter().flatten() {
+        // A reading passed on tells no total: its age stands there, below nothing.
+        let total = row.age.map_or(row.total, |age| -(age.as_secs_f64() + 1.0 / STEPS));
+        for units in [Some(total), row.asked, row.left].into_iter().flatten() {
             put(&mut bytes, signed(units));
         }
         if letters.last().is_some_and(|letter| letter.len() + bytes.len() > MOST_BYTES) {
@@ -90,11 +98,13 @@
     let mut rows = Vec::new();
     while !bytes.is_empty() {
         let (customer, kind) = (take(&mut bytes)?, take(&mut bytes)?);
+        let total = units(take(&mut bytes)?);
         rows.push(Row {
             customer,
             plan: usize::try_from(kind >> 4).ok()?,
             window: kind & 3,
-            total: units(take(&mut bytes)?),
+            total: total.max(if kind & 4 != 0 { 0.0 } else { f64::MIN }),
+            age: (kind & 4 != 0 && total < 0.0).then(|| span(-total - 1.0 / STEPS)),
             asked: if kind & 8 != 0 { Some(units(take(&mut bytes)?)) } else { None },
             left: if kind & 4 != 0 { Some(units(take(&mut bytes)?)) } else { None },
         });
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 pub mod decide;
+mod hearsay;
 pub mod letter;
 mod state;
+mod store;
 
 /// A tariff: what each of its customers may use, over all limiters together.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -1,8 +1,9 @@
 //! The state that the module keeps, and how it is measured over time; nothing is decided here.
 
-use crate::decide::BUCKETS;
-use crate::letter::Row;
-use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules, Standing};
+use crate::decide::{ASKED_OVER, BUCKETS};
+use crate::hearsay::Reading;
+use crate::letter::{self, Head, Row};
+use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules, Standing, Writer};
 use nanorand::WyRand;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -173,6 +174,8 @@
     pub trips: Vec<Trip>,
     /// The window that its units were charged to, if they were.
     pub window: Option<u64>,
+    /// As many such jobs its report stands for.
+    pub stands_for: f64,
     pub done: bool,
     pub queued: bool,
     /// The first trip that may have run: where and when it was sent.
@@ -190,6 +193,7 @@
             give_up: now + job.time_left,
             trips: Vec::new(),
             window,
+            stands_for: 1.0,
             done: false,
             queued: true,
             ran: None,
@@ -261,7 +265,21 @@
     /// Its row of the present window or the one before in a letter.
     pub fn row(&self, i: usize) -> Row {
         let window = self.window.wrapping_sub(i as u64);
-        Row { customer: self.customer, plan: self.plan, window, total: self.own[i], asked: None, left: None }
+        Row {
+            customer: self.customer,
+            plan: self.plan,
+            window,
+            total: self.own[i],
+            asked: None,
+            left: None,
+            age: None,
+        }
+    }
+
+    /// A reading of it as it stands in a letter that passes it on.
+    pub fn passed_on(&self, reading: Reading) -> Row {
+        let Reading { left, pace, age } = reading;
+        Row { asked: Some(pace), left: Some(left), age: Some(age), ..self.row(0) }
     }
 
     /// What others used: by the counter, whose total stands in this limiter's own place, or by their
@@ -384,6 +402,24 @@
         i
     }
 
+    /// A customer's account, a new one where there is none.
+    pub(crate) fn account(&mut self, now: Duration, customer: u64, plan: usize) -> usize {
+        let i = self.by_customer.get(&customer).copied().unwrap_or_else(|| {
+            self.settle(Account::new(customer, plan, &self.plans[plan], self.peers, now, ASKED_OVER))
+        });
+        self.accounts[i].stir(i, &mut self.stirred);
+        i
+    }
+
+    /// Rows to a peer, in as many letters as they need.
+    pub(crate) fn post(&mut self, now: Duration, to: u32, rows: &[Row], out: &mut dyn Writer) {
+        let life = self.started.unwrap_or(now).as_millis() as u64;
+        for letter in letter::write(Head { life, number: self.letters + 1 }, rows) {
+            self.letters += 1;
+            out.tell(to, &letter);
+        }
+    }
+
     /// Drops the accounts that no job refers to and that are over.
     pub(crate) fn drop_accounts(&mut self, mut over: impl FnMut(&mut Account, &Plan) -> bool) {
         let mut kept = vec![false; self.accounts.len()];
