Roster: another call beside a silent one, within half of a drain's grace

Need: found by reading watch_at. Behind silent calls the time-out doubled to 2 s, each given up before the next: an agent that was back had to wait for the end of a call of the outage, while what it gets then counts as told at once and a drain's grace is 0.5 to 2 s in the known settings; and five broken calls in a row passed the 6 s of the list's clock, as a test said.

Change: a silent call stays out and another is made beside it each half second (half of the drain's grace, if less), four at most; the first answer ends the others, so that no older list comes after a newer one. The doubling is gone.

Tests are in a file of their own.

--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -54,11 +54,12 @@
     pub client_unended: Duration,
     /// Trips end so long before the client gives up, so that the answer is there in time.
     pub answer_margin: Duration,
-    /// How long a watch of the roster may wait, and where an answer is wanted at once; how long it may be late, how
-    /// soon a failed call is tried again.
+    /// How long a watch of the roster may wait, and where an answer is wanted at once; how late it may be before another
+    /// is made beside it, how many there are at once, and how soon a failed call is tried again.
     pub watch: Duration,
     pub watch_again: Duration,
     pub watch_slack: Duration,
+    pub watch_calls: usize,
     pub watch_retry: Duration,
     /// A new process waits so long for discovery's first answer before it takes jobs.
     pub first_list: Duration,
@@ -146,7 +147,11 @@
             // The agent is near and asked at no cost: a call that has fallen silent must not hide changes for long.
             watch: Duration::from_secs(1),
             watch_again: Duration::from_millis(10),
-            watch_slack: Duration::from_millis(500),
+            // What discovery tells at the end of an outage counts at once, and a drain's grace runs from then.
+            watch_slack: (terms.servers.drain_grace / 2)
+                .clamp(Duration::from_millis(100), Duration::from_millis(500)),
+            // A few seconds' answers, of a discovery that is that slow; they are descriptors.
+            watch_calls: 4,
             watch_retry: Duration::from_millis(100),
             // The agent is on this machine and answers at once; one that is silent has nothing to tell for long, and
             // fleets that are killed in an outage must be back soon.
--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -11,12 +11,13 @@
 use hyper_util::rt::TokioIo;
 use merlinreel_core::Standing;
 use serde::Deserialize;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 /// Why a call to discovery brought no list. The list before stands.
@@ -166,30 +167,40 @@
     }
 }
 
-/// How a call is made: how long discovery may wait with its answer, and when a silent call counts as broken.
+/// How long discovery may wait with its answer, and when another call is made beside one that is silent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Call {
     wait: Duration,
-    late: Duration,
+    silent: Duration,
 }
 
 impl Call {
-    /// A watch waits, but not the first call of a process, nor one behind a call that broke: what is known there is
-    /// wanted at once. The more calls broke in a row, the longer the next may take, which guards a list that never
-    /// was there in time. What a silent watch misses counts as told 6 s after it fell silent: four calls that break
-    /// in a row leave 0.6 s of that.
+    /// A watch waits, but not the first call of a process, nor one behind a call that broke or is silent: what is known
+    /// there is wanted at once.
     fn next(limits: &Limits, watches: bool, first: bool, failed: u32) -> Call {
         let wait = match (watches, first || failed > 0) {
             (false, _) => Duration::ZERO,
             (true, true) => limits.watch_again,
             (true, false) => limits.watch,
         };
-        Call { wait, late: wait + limits.watch_slack * 2u32.pow(failed.saturating_sub(1).min(2)) }
+        Call { wait, silent: wait + limits.watch_slack }
     }
 }
 
-/// Each call follows the last answer at once, as a watch lapses where it does not; after a failure the list
-/// stands, and the next call comes soon, on a connection of its own.
+type Calls = JoinSet<Result<(Line, RosterNews), RosterError>>;
+
+/// The first list that a call brings, for as long as none is silent for too long and none fails.
+async fn answered(calls: &mut Calls, silent: Duration) -> Result<(Line, RosterNews), RosterError> {
+    match timeout(silent, calls.join_next()).await {
+        Ok(Some(Ok(answer))) => answer,
+        Ok(Some(Err(_)) | None) | Err(_) => Err(RosterError::NoAnswer(silent)),
+    }
+}
+
+/// Each call follows the last answer at once, as a watch lapses where it does not. Where a call fails or stays silent the
+/// list stands, and another is made on a connection of its own, beside those that are silent: the first answer of any
+/// counts and ends all others, so that none comes late. Guards the list against a discovery that is back and answers
+/// while a call of the outage is waited for, and one that is slow against calls given up just short of their answer.
 async fn watch_at(
     discovery: SocketAddr,
     mut version: Option<u64>,
@@ -198,24 +209,33 @@
     first: &mut Option<oneshot::Sender<()>>,
 ) {
     let mut line = None;
-    // Calls in a row that failed.
+    // Calls in a row that failed or were silent.
     let mut failed = 0;
+    let mut calls = Calls::new();
+    let mut silent = VecDeque::new();
     loop {
         let call = Call::next(limits, version.is_some(), first.is_some(), failed);
         let path = match version {
             Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", call.wait.as_millis()),
             None => "/discovery/hosts".to_owned(),
         };
-        let answer = async {
-            let mut at = match line.take() {
+        let (rested, connect, most) = (line.take(), limits.connect, limits.roster);
+        silent.push_back(calls.spawn(async move {
+            let mut at = match rested {
                 Some(line) => line,
-                None => dial(discovery, limits.connect).await?,
+                None => dial(discovery, connect).await?,
             };
-            let news = ask(&mut at, discovery, path, limits.roster).await?;
+            let news = ask(&mut at, discovery, path, most).await?;
             Ok((at, news))
-        };
-        match timeout(call.late, answer).await.unwrap_or(Err(RosterError::NoAnswer(call.late))) {
+        }));
+        silent.retain(|call| !call.is_finished());
+        if silent.len() > limits.watch_calls {
+            silent.pop_front().iter().for_each(AbortHandle::abort);
+        }
+        match answered(&mut calls, call.silent).await {
             Ok((at, news)) => {
+                calls.shutdown().await;
+                silent.clear();
                 line = Some(at);
                 version = Some(news.version);
                 if failed > 0 {
@@ -232,56 +252,13 @@
                     log!("roster: {what}; the list stands");
                 }
                 failed = failed.saturating_add(1);
-                sleep(limits.watch_retry).await;
+                if !matches!(what, RosterError::NoAnswer(_)) {
+                    sleep(limits.watch_retry).await;
+                }
             }
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use test_case::test_case;
-
-    #[test]
-    fn a_message_is_decoded() {
-        let news = decode(
-            br#"{"generation":43,"reset":false,"new":1,"instances":[{"instanceId":"s-5b","hostPort":"127.1.0.18:9000",
-            "zone":"b","machineType":"m2","cell":3,"lifecycle":"draining","weight":1.5,"startedAtMs":1800000000250}]}"#,
-        );
-        let listed = Listed {
-            name: "s-5b".to_owned(),
-            address: SocketAddr::from(([127, 1, 0, 18], 9000)),
-            zone: "b".to_owned(),
-            cell: 3,
-            standing: Standing::Draining,
-            weight: 1.5,
-            up_since: Some(Duration::from_millis(1_800_000_000_250)),
-        };
-        assert_eq!(news.ok(), Some(RosterNews { version: 43, whole: false, servers: vec![listed] }));
-    }
-
-    /// From a watch's falling silent, at worst as it begins, to the answer of a call that discovery takes: so many
-    /// calls break in a row, each after all of its time. Guards the clock of 6 s by which a change counts as told.
-    #[test_case(1 => true)]
-    #[test_case(4 => true)]
-    #[test_case(5 => false)]
-    fn an_answer_comes_within_the_list_s_clock(broken: u32) -> bool {
-        let paths = merlinreel_settings::Paths::from_json(&serde_json::json!({}));
-        let terms = paths.and_then(|paths| merlinreel_settings::Terms::read(&paths)).expect("sound");
-        let limits = Limits::new(1024, 192, &terms).expect("room");
-        let each = |failed| Call::next(&limits, true, false, failed).late + limits.watch_retry;
-        (0..broken).map(each).sum::<Duration>() + limits.watch_again < Duration::from_millis(5500)
-    }
-
-    #[test_case(r#"{"reset":true}"#, "missing field `generation`" ; "no version")]
-    #[test_case(r#"{"generation":1,"instances":[{"instanceId":"s","hostPort":"x","lifecycle":"up"}]}"#,
-        "instances[0].hostPort: 'x'" ; "no address")]
-    #[test_case(r#"{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"odd"}]}"#,
-        "instances[0].lifecycle: unknown 'odd'" ; "unknown state")]
-    #[test_case("{", "EOF" ; "cut short")]
-    fn a_malformed_message_is_not_taken(text: &str, begins: &str) {
-        let complaint = decode(text.as_bytes()).expect_err("malformed").to_string();
-        assert!(complaint.starts_with(begins), "{complaint}");
-    }
-}
+mod tests;
