A keyed repeat is written while its key is kept, or not at all

Need: found by reading. may_send_again looked at the window when a repeat was ordered; its connection could then take up to 0.3 s to come up, or the request be written in parts, and arrive after the window (0.4 to 0.7 s in the known settings), where it takes effect twice.

Change: the module tells how long a repeat may take to be written (Writer::send's within, before an unused time-out), from the first trip that may have run; the connection's task ends it as never run once that is over: while connecting, before writing, and while its last byte is not taken.

Measured: each of the tests fails without its part; the first form, with timers alone, failed them too, as a timer may fire a millisecond late.

--- a/crates/merlinreel-benchlink/src/host.rs
+++ b/crates/merlinreel-benchlink/src/host.rs
@@ -137,10 +137,10 @@
 }
 
 impl Writer for Reply<'_> {
-    fn send(&mut self, job: u32, server: u32, limit: Option<Duration>) {
+    /// A window runs to the sending here, so that nothing is late by the way there.
+    fn send(&mut self, job: u32, server: u32, _within: Option<Duration>) {
         let (id, name) = (&self.jobs.names[job as usize], &self.servers.names[server as usize]);
-        let limit = limit.map_or(0.0, |limit| limit.as_secs_f64());
-        let _ = writeln!(self.out, "SUBMIT_TO {id} {name} {limit:.6}");
+        let _ = writeln!(self.out, "SUBMIT_TO {id} {name} 0.000000");
         let state = &mut self.states[job as usize];
         state.out += 1;
         state.trips += 1;
--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -980,7 +980,14 @@
             }
             at.out += 1;
             at.sends.add(now, 1.0);
-            out.send(job, server, None);
+            // Servers keep a key so long after the first trip that may have run: a repeat has to be there by then.
+            let within = match (self.categories[open.job.category].repeats, open.ran) {
+                (Repeats::Referenced(_, memory), Some((_, sent))) => {
+                    Some((sent + memory).saturating_sub(now))
+                }
+                _ => None,
+            };
+            out.send(job, server, within);
         }
     }
 }
--- a/crates/merlinreel-core/src/decide/tests.rs
+++ b/crates/merlinreel-core/src/decide/tests.rs
@@ -594,3 +594,15 @@
     limiter.end_trip(at(1.1), &end, &mut Notes::default());
     assert_eq!(limiter.accounts[0].own[0], 3.0);
 }
+
+/// A further trip must reach its server while the key of a first that may have run is kept, for 0.6 s here since that was
+/// sent at 1 s; else it needs no hurry. Guards against an effect twice by a repeat that its connection holds up.
+#[test_case(Repeats::Referenced(Group::All, at(0.6)), Ending::Dropped => "send 0 to 1 within 0.4" ; "keyed, it may have run")]
+#[test_case(Repeats::Referenced(Group::All, at(0.6)), Ending::Unsent => "send 0 to 1" ; "keyed, it never ran")]
+#[test_case(Repeats::Replayable, Ending::Dropped => "send 0 to 1" ; "at will")]
+fn a_repeat_is_there_while_its_key_is_kept(repeats: Repeats, ending: Ending) -> String {
+    let (mut limiter, mut notes) = (on_trip(repeats), Notes::default());
+    limiter.end_trip(at(1.2), &trip_end(ending, false), &mut notes);
+    limiter.dispatch(at(1.2), &mut notes);
+    notes.lines.join(", ")
+}
--- a/crates/merlinreel-core/src/decide/tests/helpers.rs
+++ b/crates/merlinreel-core/src/decide/tests/helpers.rs
@@ -15,8 +15,9 @@
 }
 
 impl Writer for Notes {
-    fn send(&mut self, job: u32, server: u32, _: Option<Duration>) {
-        self.add(format!("send {job} to {server}"));
+    fn send(&mut self, job: u32, server: u32, within: Option<Duration>) {
+        let within = within.map_or(String::new(), |within| format!(" within {:.1}", secs(within)));
+        self.add(format!("send {job} to {server}{within}"));
     }
     fn defer(&mut self, job: u32, retry_after: Option<Duration>) {
         self.add(format!("defer {job} {:.1}", retry_after.map_or(0.0, secs)));
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -254,8 +254,8 @@
 
 /// Where decisions are written, in the order in which they are to be done.
 pub trait Writer {
-    /// A trip of the job to the server, with a time-out or none of its own.
-    fn send(&mut self, job: u32, server: u32, limit: Option<Duration>);
+    /// A trip of the job to the server. Where it must reach it `within` some time, it is not made later than that.
+    fn send(&mut self, job: u32, server: u32, within: Option<Duration>);
     fn defer(&mut self, job: u32, retry_after: Option<Duration>);
     fn scrap(&mut self, job: u32);
     fn revoke(&mut self, job: u32, trip: u32);
--- a/crates/merlinreel/src/driver/desk.rs
+++ b/crates/merlinreel/src/driver/desk.rs
@@ -110,14 +110,14 @@
 }
 
 impl Writer for Desk {
-    fn send(&mut self, job: u32, server: u32, limit: Option<Duration>) {
+    fn send(&mut self, job: u32, server: u32, within: Option<Duration>) {
         let (now, margin, serial) = (self.now, self.margin, self.serial + 1);
         let Some(held) = self.held(job) else { return };
         let trip = held.trips;
         held.trips += 1;
         let until = held.until.checked_sub(margin).unwrap_or(held.until);
-        let until = limit.map_or(until, |limit| until.min(now + limit));
-        let errand = Errand { serial, parcel: held.parcel.clone(), started: now, until };
+        let begins_by = within.map(|within| now + within);
+        let errand = Errand { serial, parcel: held.parcel.clone(), started: now, until, begins_by };
         let link = if until > now { self.servers.send(server, errand) } else { None };
         if let Some(link) = link {
             self.serial = serial;
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -32,6 +32,14 @@
     pub started: Instant,
     /// The limiter stops waiting then.
     pub until: Instant,
+    /// Its last byte is written by then, or never.
+    pub begins_by: Option<Instant>,
+}
+
+impl Errand {
+    fn written_by(&self) -> Instant {
+        self.begins_by.map_or(self.until, |at| at.min(self.until))
+    }
 }
 
 #[derive(Debug)]
--- a/crates/merlinreel/src/servers/carrier.rs
+++ b/crates/merlinreel/src/servers/carrier.rs
@@ -140,7 +140,10 @@
             biased;
             () = self.abandoned(errand.serial) => return Err(Ending::Unsent),
             stream = timeout(within, TcpStream::connect(address)) => stream,
-            () = sleep_until(errand.until.into()) => return Err(Ending::NoConnection),
+            () = sleep_until(errand.written_by().into()) => return Err(match errand.begins_by {
+                Some(_) => Ending::Unsent,
+                None => Ending::NoConnection,
+            }),
         };
         let stream = match stream {
             Ok(Ok(stream)) => stream,
@@ -166,6 +169,10 @@
     /// Makes the trip; where the answer flows, its end is told by what comes with it. On an error the connection
     /// must be closed.
     async fn carry(&mut self, up: &mut Up, errand: &Errand) -> Result<(Said, Option<Ended>), Ending> {
+        // Asked of the clock itself: a timer may be a millisecond late.
+        if errand.written_by() <= Instant::now() {
+            return Err(Ending::Unsent);
+        }
         let request = encode(&errand.parcel, errand.until.saturating_duration_since(Instant::now()));
         let whole = up.sent.bytes() + wire_length(&request, errand.parcel.body.len());
         let Up { sender, connection, sent, over } = up;
@@ -208,11 +215,15 @@
             Some((head, Ok(body)))
         };
         let limit = sleep_until(errand.until.into());
-        tokio::pin!(answer, limit);
+        let written_by = sleep_until(errand.written_by().into());
+        tokio::pin!(answer, limit, written_by);
         let ending = loop {
             tokio::select! {
                 biased;
                 () = self.abandoned(errand.serial) => break Ending::Revoked,
+                // Before anything more is written. Guards keyed jobs against a repeat that comes after its servers
+                // have forgotten the key, where the connection came up late or takes the request in parts.
+                () = &mut written_by, if sent.bytes() < whole => break Ending::Expired,
                 // First, as what it reads is the answer: that saves a turn.
                 _ = connection.as_mut(), if !*over => *over = true,
                 answer = &mut answer => match answer {
--- a/crates/merlinreel/src/servers/tests.rs
+++ b/crates/merlinreel/src/servers/tests.rs
@@ -27,7 +27,7 @@
 
 fn errand(serial: u64, body: usize, within: Duration) -> Errand {
     let started = Instant::now();
-    Errand { serial, parcel: parcel(body), started, until: started + within }
+    Errand { serial, parcel: parcel(body), started, until: started + within, begins_by: None }
 }
 
 /// The servers with one at that address.
@@ -89,6 +89,8 @@
     end(news).await
 }
 
+/// More than the buffers of both sides hold.
+const HUGE: usize = 1 << 26;
 const INFORMED: &str = "HTTP/1.1 102 On\r\n\r\nHTTP/1.1 103 Hint\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n\
     X-Units-Charged: 3\r\nX-Pressure: {\"queue\":2,\"util\":0.5,\"odd\":1}\r\nContent-Length: 4\r\n\r\ndone";
 const GOOD: &str = "HTTP/1.1 200 OK\r\nX-Units-Charged: 3\r\nX-Pressure: {\"queue\":2,\"util\":0.5,\"odd\":1}\r\n\
@@ -137,9 +139,8 @@
     assert_eq!(end(&mut news).await.ending, Ending::NoConnection);
 }
 
-// More than the buffers of both sides hold.
-#[test_case(1 << 26, true, Ending::TurnedAway ; "the server closes before the last byte")]
-#[test_case(1 << 26, false, Ending::Unsent ; "the time is over before the last byte")]
+#[test_case(HUGE, true, Ending::TurnedAway ; "the server closes before the last byte")]
+#[test_case(HUGE, false, Ending::Unsent ; "the time is over before the last byte")]
 #[test_case(1, true, Ending::Dropped ; "the server closes after it")]
 #[test_case(1, false, Ending::Expired ; "the time is over after it")]
 #[tokio::test]
@@ -328,3 +329,32 @@
     strip_hop_by_hop(&mut headers);
     assert_eq!(headers.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-kept"]);
 }
+
+/// A repeat of a keyed job whose servers forget the key at that moment: on a connection that rests, on a new one, and
+/// on one that took a part of it. None of it is written after, or its last byte is not; all are proven never to have run.
+#[test_case(true, 1 ; "on a connection that rests")]
+#[test_case(false, 1 ; "on a new one")]
+#[test_case(true, HUGE ; "one that takes a part of it")]
+#[tokio::test]
+async fn nothing_is_written_once_the_key_may_be_forgotten(rests: bool, body: usize) {
+    let (listener, address) = listener().await;
+    let (mut servers, mut news) = servers(address, 4);
+    let mut server = None;
+    if rests {
+        let (link, mut stream) = begun(&listener, &mut servers, 1).await;
+        done(&mut stream, &mut news).await;
+        servers.keep(0, link);
+        server = Some(stream);
+    }
+    let begins_by = match body {
+        HUGE => Some(Instant::now() + Duration::from_millis(50)),
+        _ => Some(Instant::now()),
+    };
+    let _link = servers.send(0, Errand { begins_by, ..errand(2, body, 3 * LONG) }).expect("a slot");
+    assert_eq!(end(&mut news).await.ending, Ending::Unsent);
+    let mut read = Vec::new();
+    if let Some(stream) = &mut server {
+        let _ = timeout(LONG, stream.read_to_end(&mut read)).await.expect("closed");
+    }
+    assert!(read.len() < body, "{}", read.len());
+}
