--- a/crates/merlinreel/src/roster.rs
+++ b/crates/merlinreel/src/roster.rs
@@ -189,12 +189,19 @@
 
 type Calls = JoinSet<Result<(Line, RosterNews), RosterError>>;
 
-/// The first list that a call brings, for as long as none is silent for too long and none fails.
+/// What the first call brings that ends by itself, within the time after which the newest is silent. Calls that were ended
+/// here bring nothing: guards discovery against a call at once, and so without end, for each of those.
 async fn answered(calls: &mut Calls, silent: Duration) -> Result<(Line, RosterNews), RosterError> {
-    match timeout(silent, calls.join_next()).await {
-        Ok(Some(Ok(answer))) => answer,
-        Ok(Some(Err(_)) | None) | Err(_) => Err(RosterError::NoAnswer(silent)),
-    }
+    let first = async {
+        loop {
+            match calls.join_next().await {
+                Some(Ok(answer)) => return answer,
+                Some(Err(_)) => {}
+                None => std::future::pending().await,
+            }
+        }
+    };
+    timeout(silent, first).await.unwrap_or(Err(RosterError::NoAnswer(silent)))
 }
 
 /// Each call follows the last answer at once, as a watch lapses where it does not. Where a call fails or stays silent the
--- a/crates/merlinreel/src/roster/tests.rs
+++ b/crates/merlinreel/src/roster/tests.rs
@@ -77,6 +77,18 @@
     Ok(())
 }
 
+/// A call that was ended, for there were too many, is no answer: the newest still has its time. Guards discovery, and this
+/// limiter's processor, against call upon call with no pause between them.
+#[tokio::test]
+async fn a_call_that_was_ended_brings_nothing() {
+    let mut calls = Calls::new();
+    calls.spawn(std::future::pending()).abort();
+    calls.spawn(std::future::pending());
+    tokio::task::yield_now().await;
+    let brought = timeout(Duration::from_millis(30), answered(&mut calls, Duration::from_secs(20))).await;
+    assert!(brought.is_err());
+}
+
 /// An agent that never says anything holds no more of this limiter's descriptors than a few.
 #[tokio::test]
 async fn silent_calls_are_few() -> std::io::Result<()> {
