Clients' connections close lingering, and a client's end is seen behind what it sent

Need: found by reading serve_on. (1) A connection was dropped after a look at the kernel: bytes that came between, or that hyper had not read at its own shutdown, meet a reset, which takes the end of an answer along. (2) hyper looks for the client's end only while nothing is behind the request (mid_message_detect_eof), so a client that sent more and went was never seen, and its job was sent on. (3) A call of /up left its connection marked as having part of a request: a stop waited 2.2 s for it.

Change: line.rs is a client's connection as a stream. While a request is in hand each turn reads ahead, 8 KiB at most; beyond that it is a flood, dropped, and the answer tells the closing. It closes in one way: the limiter's side ends, what still comes is dropped for 0.25 s and 144 KiB at most, and is of no request; one that lingers gives way to who needs its place and is not asked again to close by a stop. A call of /up leaves its connection at rest.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -3,6 +3,7 @@
 mod guest;
 mod hand;
 mod intake;
+mod line;
 mod stop;
 #[cfg(test)]
 mod tests;
@@ -12,7 +13,6 @@
 use crate::limits::Limits;
 use crate::log;
 use crate::messages::{Queue, Tuned};
-use crate::stream::Tallied;
 use guest::{Guest, lock, who_gives_way};
 use hand::Flowing;
 use http_body_util::Either;
@@ -20,6 +20,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use line::Line;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -29,7 +30,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-type Wire = TokioIo<Tallied<Guest>>;
+type Wire = TokioIo<Line>;
 
 /// What all clients' connections share.
 pub struct Door {
@@ -99,14 +100,18 @@
 
     async fn serve(self: &Arc<Door>, stream: TcpStream, guest: Arc<Guest>) {
         let _ = stream.set_nodelay(true);
-        let mut io = TokioIo::new(Tallied::new(stream, guest.clone()));
-        while let Some(back) = self.serve_on(io, &guest).await {
-            io = back;
+        let mut io = TokioIo::new(Line::new(stream, guest.clone(), &self.limits));
+        while let Some(mut rests) = self.serve_on(io, &guest).await {
+            // The kernel is asked last: what came since the poller looked must not meet the end.
+            if !rests.inner().waits() {
+                return guest.close(rests.inner_mut()).await;
+            }
+            io = rests;
         }
     }
 
-    /// Serves a connection until its end. Where it was to close and something had come, it is given back, to be
-    /// served on: the answer then tells the closing.
+    /// Serves a connection until its end. Where it is to close between requests it is given back: to be closed, or
+    /// served on if something had come. The answer then tells the closing.
     async fn serve_on(self: &Arc<Door>, io: Wire, guest: &Arc<Guest>) -> Option<Wire> {
         let service = service_fn(|request| {
             let (door, guest) = (self.clone(), guest.clone());
@@ -146,14 +151,17 @@
                 // A request may have come in unseen: the poller gets a turn before it is dropped. Guards also
                 // against one that never sent anything: asked to close, it would stay.
                 () = &mut turn, if leaving => {
+                    if guest.closing.load(Ordering::Relaxed) {
+                        // It lingers, and gives way.
+                        return None;
+                    }
                     if guest.rests(&self.limits) {
                         if lock(&guest.times).heard.is_some() {
                             log!("clients: part of a request, not whole in time: the connection is closed");
+                            guest.close(connection.into_parts().io.inner_mut()).await;
                             return None;
                         }
-                        // The kernel is asked last: what came since the poller looked must not meet the end.
-                        let io = connection.into_parts().io;
-                        return io.inner().waits().then_some(io);
+                        return Some(connection.into_parts().io);
                     }
                     // What came has its answer, which tells the closing; asked to shut down, the library would end
                     // a connection that holds half a head.
--- a/crates/merlinreel/src/clients/guest.rs
+++ b/crates/merlinreel/src/clients/guest.rs
@@ -1,11 +1,13 @@
 //! One client's connection: what it did last, and who gives way where places are short.
 
+use super::line::Line;
 use crate::limits::Limits;
 use crate::messages::News;
 use crate::stream::Tally;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, mpsc};
 
 /// One client's connection.
@@ -15,6 +17,8 @@
     pub requests: AtomicUsize,
     /// It was idle and has to give way.
     pub evicted: AtomicBool,
+    /// The limiter's side has ended: nothing is read for a request any more.
+    pub closing: AtomicBool,
     pub times: Mutex<Times>,
     pub close: Notify,
     /// A place in the queue for the news that the client has left; it can leave but once.
@@ -43,6 +47,7 @@
             busy: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             evicted: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             times: Mutex::new(Times { idle: Instant::now(), heard: None, held_up: None }),
             close: Notify::new(),
             leaving: Mutex::new(Some(leaving)),
@@ -85,6 +90,7 @@
         };
         let times = lock(&self.times);
         times.heard.is_none()
+            && !self.closing.load(Ordering::Relaxed)
             && !self.busy.load(Ordering::Relaxed)
             && !times.held_up(limits)
             && times.idle.elapsed() >= rest
@@ -96,6 +102,20 @@
         self.close.notify_one();
     }
 
+    /// Closes it, for as long as that lingers or until it has to give way.
+    pub async fn close(&self, line: &mut Line) {
+        // An order to close that came before is carried out by this.
+        tokio::select! {
+            biased;
+            () = self.close.notified() => {}
+            () = std::future::ready(()) => {}
+        }
+        tokio::select! {
+            _ = line.shutdown() => {}
+            () = self.close.notified() => {}
+        }
+    }
+
     /// Who gives way first: who never asked, then who asked once, then the others, the longest idle before.
     /// Guards those that come back against crowds that stay.
     pub fn rank(&self) -> (usize, Instant) {
--- a/crates/merlinreel/src/clients/intake.rs
+++ b/crates/merlinreel/src/clients/intake.rs
@@ -1,7 +1,7 @@
 //! A request taken in: read whole, handed to the driver as a job, and answered.
 
 use super::Door;
-use super::guest::Guest;
+use super::guest::{Guest, lock};
 use super::hand::{Attending, Hand};
 use crate::decode::{TXN, decode, encode, last, respond};
 use crate::flow::Reply;
@@ -24,6 +24,10 @@
         let sent = Instant::now();
         if request.uri().path() == "/up" {
             let status = if self.serves() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            // It rests again: else a stop would wait for the rest of a request.
+            let mut times = lock(&guest.times);
+            (times.idle, times.heard) = (Instant::now(), None);
+            drop(times);
             return respond(status, String::new()).map(Either::Left);
         }
         // The whole request must be there by then, whatever time the client claims to have.
--- a/crates/merlinreel/src/clients/tests.rs
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -187,3 +187,150 @@
     assert_eq!(arrival.until, asked + limits.stop_end);
     Ok(())
 }
+
+/// A door that takes jobs of one class, with the news that the driver would get.
+fn open_door(limits: Limits) -> (Arc<Door>, mpsc::Receiver<News>) {
+    let (queue, news) = mpsc::channel(9);
+    let tuned = watch::channel(Arc::new(Tuned::first(looking()))).1;
+    let door = Door::new(limits, tuned, queue, Figures::new(&[]));
+    door.opened.store(true, Ordering::Relaxed);
+    (door, news)
+}
+
+/// A connection served as the door serves each, and the client's news with a place of its own.
+fn served(door: &Arc<Door>, stream: TcpStream) -> (Arc<Guest>, tokio::task::JoinHandle<()>) {
+    let guest = Arc::new(Guest::new(door.queue.clone().try_reserve_owned().expect("a place")));
+    let (door, one) = (door.clone(), guest.clone());
+    (guest, tokio::spawn(async move { door.serve(stream, one).await }))
+}
+
+/// Waits for a connection's mark of how far it has come.
+async fn marked(mark: &AtomicBool) {
+    let set = async {
+        while !mark.load(Ordering::Relaxed) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), set).await.expect("in time");
+}
+
+async fn next(news: &mut mpsc::Receiver<News>) -> News {
+    let next = tokio::time::timeout(Duration::from_secs(20), news.recv()).await;
+    next.expect("in time").expect("a door")
+}
+
+/// A client that goes while its job waits, with something sent behind the request: the driver hears of it. Guards
+/// servers against jobs that nobody waits for, as the HTTP library reads no more once there is anything behind one.
+#[test_case(0 ; "nothing behind it")]
+#[test_case(3 ; "half a line")]
+#[test_case(9_000 ; "more than a head")]
+#[test_case(300_000 ; "a flood")]
+#[tokio::test]
+async fn a_client_that_goes_is_seen(behind: usize) -> std::io::Result<()> {
+    use std::io::Write;
+    let (mut client, stream) = came_with(LOOK)?;
+    let (door, mut news) = open_door(limits());
+    let _served = served(&door, stream);
+    let News::Arrival(arrival) = next(&mut news).await else { panic!("no job") };
+    let goes = tokio::task::spawn_blocking(move || client.write_all(&vec![b'x'; behind]));
+    let News::Left(ticket) = next(&mut news).await else { panic!("it has not left") };
+    assert_eq!(ticket, arrival.ticket);
+    goes.await.expect("written")
+}
+
+/// What a client sends behind its request is its next one, and is served in its turn; of a flood nothing is.
+#[test_case(0 => 2 ; "the next request")]
+#[test_case(100_000 => 1 ; "with a flood behind it")]
+#[tokio::test]
+async fn requests_behind_another(flood: usize) -> usize {
+    use std::io::{Read, Write};
+    let (mut client, stream) = came_with(LOOK).expect("a client");
+    let (door, mut news) = open_door(limits());
+    let (guest, serving) = served(&door, stream);
+    let News::Arrival(first) = next(&mut news).await else { panic!("no job") };
+    let writing = tokio::task::spawn_blocking(move || {
+        let second = String::from_utf8_lossy(LOOK).replace("9b", "9c");
+        client
+            .write_all(second.as_bytes())
+            .and_then(|()| client.write_all(&vec![b'x'; flood]))
+            .expect("taken");
+        client
+    });
+    let client = writing.await.expect("written");
+    // All of it was taken by the kernel; that it was seen to be too much shows in the connection's own mark.
+    if flood > 0 {
+        marked(&guest.evicted).await;
+    }
+    first.answer.send(crate::messages::Answer::Scrapped).expect("a client that waits");
+    let jobs = if flood > 0 {
+        1
+    } else {
+        let News::Arrival(second) = next(&mut news).await else { panic!("no second job") };
+        second.answer.send(crate::messages::Answer::Scrapped).expect("a client that waits");
+        2
+    };
+    client.shutdown(std::net::Shutdown::Write).expect("its side ends");
+    let answers = tokio::task::spawn_blocking(move || {
+        let mut all = String::new();
+        (&client).read_to_string(&mut all).map(|_| all.matches("HTTP/1.1 502").count())
+    });
+    assert_eq!(answers.await.expect("read").expect("no reset"), jobs);
+    serving.await.expect("served");
+    assert!(news.try_recv().is_err());
+    jobs
+}
+
+/// A connection closed over what its client still sends: the client gets the whole of its answer and then an orderly
+/// end, no reset. What comes after the limiter's side has ended is of no request, and never sent on.
+#[tokio::test]
+async fn a_close_over_bytes_on_their_way_is_no_reset() -> std::io::Result<()> {
+    use std::io::{Read, Write};
+    let (mut client, stream) = came_with(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")?;
+    let (door, mut news) = open_door(limits());
+    let (guest, serving) = served(&door, stream);
+    marked(&guest.closing).await;
+    let answer = tokio::task::spawn_blocking(move || {
+        client.write_all(LOOK)?;
+        let mut answer = String::new();
+        client.read_to_string(&mut answer)?;
+        // Its end is orderly to the last: what is sent now would meet a reset, had there been one.
+        client.write_all(LOOK)?;
+        Ok::<_, std::io::Error>(answer)
+    });
+    assert!(answer.await.expect("read")?.starts_with("HTTP/1.1 200"));
+    serving.await.expect("served");
+    assert!(news.try_recv().is_err());
+    Ok(())
+}
+
+/// A client that rests until it is ended, and then goes on resting: its place is given to another at once, and the close
+/// is over in its time.
+#[test_case(true ; "another needs the place")]
+#[test_case(false ; "nobody does")]
+#[tokio::test]
+async fn a_client_that_never_ends_its_side_holds_nothing_up(needed: bool) -> std::io::Result<()> {
+    let (_client, stream) = came_with(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")?;
+    let lingers = Duration::from_secs(if needed { 3600 } else { 0 });
+    let (door, _news) = open_door(Limits { client_lingers: lingers, ..limits() });
+    let (guest, serving) = served(&door, stream);
+    if needed {
+        marked(&guest.closing).await;
+        guest.evict();
+    }
+    tokio::time::timeout(Duration::from_secs(20), serving).await.expect("closed").expect("served");
+    Ok(())
+}
+
+/// The call by which the platform asks whether jobs are taken is over once it is answered. Guards a stop against
+/// waiting 2.2 s for the rest of a request that never began.
+#[tokio::test]
+async fn a_call_of_up_leaves_the_connection_at_rest() -> std::io::Result<()> {
+    use std::io::Read;
+    let (mut client, stream) = came_with(b"GET /up HTTP/1.1\r\n\r\n")?;
+    let (door, _news) = open_door(limits());
+    let (guest, _serving) = served(&door, stream);
+    let read = tokio::task::spawn_blocking(move || client.read(&mut [0; 64]).map(|_| client));
+    let _client = read.await.expect("read")?;
+    assert!(lock(&guest.times).heard.is_none());
+    Ok(())
+}
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -52,6 +52,9 @@
     pub client_settled: Duration,
     pub client_silent: Duration,
     pub client_unended: Duration,
+    /// A connection whose limiter's side has ended is read and dropped for so long, and so many bytes, at most.
+    pub client_lingers: Duration,
+    pub client_drops: usize,
     /// Trips end so long before the client gives up, so that the answer is there in time.
     pub answer_margin: Duration,
     /// How long a watch of the roster may wait, and where an answer is wanted at once; how late it may be before another
@@ -143,6 +146,11 @@
             client_settled: Duration::from_millis(10),
             client_silent: Duration::from_millis(30),
             client_unended: Duration::from_millis(100),
+            // What crosses the end is there within a round trip of some milliseconds; a client on a machine that is
+            // busy may need more, and a stop must not wait long for one that never ends its side.
+            client_lingers: Duration::from_millis(250),
+            // A request with the longest body, and as much again.
+            client_drops: 2 * (64 + 8) * 1024,
             answer_margin: Duration::from_millis(5),
             // The agent is near and asked at no cost: a call that has fallen silent must not hide changes for long.
             watch: Duration::from_secs(1),
@@ -192,9 +200,12 @@
         let connections = limits.clients_most + limits.servers;
         assert!(limits.clients < limits.clients_most && limits.servers >= 12);
         assert!(connections + OWN <= sockets as usize);
-        // Bodies and buffers of both sides at their fullest, and the program itself.
-        let buffers =
-            connections * 2 * limits.head + limits.servers * limits.body + limits.bodies + limits.answers;
+        // Bodies and buffers of both sides at their fullest, what is read ahead, and the program itself.
+        let buffers = connections * 2 * limits.head
+            + limits.clients_most * limits.head
+            + limits.servers * limits.body
+            + limits.bodies
+            + limits.answers;
         assert!(buffers + (PROGRAM_MB << 20) <= (memory_mb as usize) << 20);
         assert!(limits.queue > 2 * connections);
         // What a page or a font takes.
