Jobs and rings of the module's state in files of their own: behaviour unchanged

Change: job.rs (an admitted job, its trips) and ring.rs (what is measured over time); lines moved, nothing else. Measured: all tests of the crate as before.

--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -4,9 +4,11 @@
 //! batch between limiters. Docs: `docs/design.md`, `docs/on-call.md`.
 
 use crate::hearsay::Reading;
+use crate::job::{OpenJob, Trip};
 use crate::letter::{self, Row};
+use crate::ring::Ring;
 pub use crate::state::Limiter;
-use crate::state::{Account, Listener, OpenJob, Ring, Server, Trip, secs, slot, span};
+use crate::state::{Account, Listener, Server, secs, slot, span};
 use crate::store::window_length;
 use crate::*;
 use nanorand::Rng;
--- /dev/null
+++ b/crates/merlinreel-core/src/job.rs
@@ -0,0 +1,49 @@
+//! An admitted job and its trips, as they are kept; nothing is decided here.
+
+use crate::Job;
+use std::time::Duration;
+
+pub struct Trip {
+    pub server: u32,
+    pub sent: Duration,
+    pub out: bool,
+    pub revoked: bool,
+    /// Its answer is no more expected, and its credit given back.
+    pub overdue: bool,
+}
+
+pub struct OpenJob {
+    pub job: Job,
+    pub account: usize,
+    pub arrived: Duration,
+    pub target: Duration,
+    pub give_up: Duration,
+    pub trips: Vec<Trip>,
+    /// The window that its units were charged to, if they were.
+    pub window: Option<u64>,
+    /// As many such jobs its report stands for.
+    pub stands_for: f64,
+    pub done: bool,
+    pub queued: bool,
+    /// The first trip that may have run: where and when it was sent.
+    pub ran: Option<(u32, Duration)>,
+}
+
+impl OpenJob {
+    /// Admitted and waiting for its first trip.
+    pub fn new(job: &Job, account: usize, now: Duration, target: Duration, window: Option<u64>) -> OpenJob {
+        OpenJob {
+            job: *job,
+            account,
+            arrived: now,
+            target,
+            give_up: now + job.time_left,
+            trips: Vec::new(),
+            window,
+            stands_for: 1.0,
+            done: false,
+            queued: true,
+            ran: None,
+        }
+    }
+}
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod decide;
 mod hearsay;
+mod job;
 pub mod letter;
+mod ring;
 mod state;
 mod store;
 
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -1,9 +1,11 @@
 //! The state that the module keeps, and how it is measured over time; nothing is decided here.
 
-use crate::decide::{ASKED_OVER, BUCKETS};
+use crate::decide::ASKED_OVER;
 use crate::hearsay::Reading;
+use crate::job::OpenJob;
 use crate::letter::{self, Head, Row};
-use crate::{Category, Job, JobRules, Peers, Plan, RosterEntry, ServerRules, Standing, Writer};
+use crate::ring::Ring;
+use crate::{Category, JobRules, Peers, Plan, RosterEntry, ServerRules, Standing, Writer};
 use nanorand::WyRand;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -25,52 +27,6 @@
     &mut list[i]
 }
 
-/// What is measured over time: sums in fixed buckets of time, used again in a ring.
-#[derive(Default)]
-pub struct Ring {
-    pub width: f64,
-    pub slot: u64,
-    pub sums: [f64; BUCKETS],
-    /// Nothing in it at the last reading, nor added since: read often, it need not turn.
-    pub empty: bool,
-}
-
-impl Ring {
-    pub fn new(length: Duration) -> Ring {
-        Ring { width: (secs(length) / BUCKETS as f64).max(0.001), slot: 0, sums: [0.0; BUCKETS], empty: true }
-    }
-
-    pub fn turn(&mut self, now: Duration) {
-        let slot = (secs(now) / self.width) as u64;
-        for passed in (self.slot + 1..=slot).rev().take(BUCKETS) {
-            self.sums[passed as usize % BUCKETS] = 0.0;
-        }
-        self.slot = self.slot.max(slot);
-    }
-
-    pub fn add(&mut self, now: Duration, amount: f64) {
-        self.turn(now);
-        self.sums[self.slot as usize % BUCKETS] += amount;
-        self.empty = false;
-    }
-
-    /// The least mean of any bucket with that many counts.
-    pub fn least_mean(&self, counts: &Ring, enough: f64) -> Option<f64> {
-        let full = self.sums.iter().zip(&counts.sums).filter(|(_, count)| **count >= enough);
-        full.map(|(sum, count)| sum / count).min_by(f64::total_cmp)
-    }
-
-    pub fn sum(&mut self, now: Duration) -> f64 {
-        if self.empty {
-            return 0.0;
-        }
-        self.turn(now);
-        let sum = self.sums.iter().sum();
-        self.empty = self.sums == [0.0; BUCKETS];
-        sum
-    }
-}
-
 /// A limiter that reported to the gatherer of a customer's counts.
 pub struct Listener {
     pub peer: u32,
@@ -156,51 +112,6 @@
     pub quiet: u32,
 }
 
-pub struct Trip {
-    pub server: u32,
-    pub sent: Duration,
-    pub out: bool,
-    pub revoked: bool,
-    /// Its answer is no more expected, and its credit given back.
-    pub overdue: bool,
-}
-
-pub struct OpenJob {
-    pub job: Job,
-    pub account: usize,
-    pub arrived: Duration,
-    pub target: Duration,
-    pub give_up: Duration,
-    pub trips: Vec<Trip>,
-    /// The window that its units were charged to, if they were.
-    pub window: Option<u64>,
-    /// As many such jobs its report stands for.
-    pub stands_for: f64,
-    pub done: bool,
-    pub queued: bool,
-    /// The first trip that may have run: where and when it was sent.
-    pub ran: Option<(u32, Duration)>,
-}
-
-impl OpenJob {
-    /// Admitted and waiting for its first trip.
-    pub fn new(job: &Job, account: usize, now: Duration, target: Duration, window: Option<u64>) -> OpenJob {
-        OpenJob {
-            job: *job,
-            account,
-            arrived: now,
-            target,
-            give_up: now + job.time_left,
-            trips: Vec::new(),
-            window,
-            stands_for: 1.0,
-            done: false,
-            queued: true,
-            ran: None,
-        }
-    }
-}
-
 /// One limiter: what it was started with and all that it keeps.
 pub struct Limiter {
     pub(crate) plans: Vec<Plan>,
--- a/crates/merlinreel-core/src/store.rs
+++ b/crates/merlinreel-core/src/store.rs
@@ -1,7 +1,8 @@
 //! A customer's quota as a store counted by windows: what was used here and elsewhere, and what that leaves. Counting
 //! only; who is let in is decided in `decide`.
 
-use crate::state::{Account, Ring, secs, span};
+use crate::ring::Ring;
+use crate::state::{Account, secs, span};
 use crate::{Peers, Plan};
 use std::time::Duration;
 
