--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -3,11 +3,13 @@
 mod broken_answers;
 mod faults;
 mod gone_clients;
+mod limited_process;
 mod mesh;
 mod operations;
 mod request_bodies;
 mod starts;
 mod stop;
+mod system_faults;
 
 use merlinreel_testbed::*;
 use std::sync::mpsc::channel;
--- a/crates/merlinreel/tests/sockets/starts.rs
+++ b/crates/merlinreel/tests/sockets/starts.rs
@@ -1,95 +1,23 @@
 //! Limiters that start or start again while discovery is down or their descriptors are taken.
 
+use super::limited_process::LimitedProcess;
 use merlinreel_testbed::*;
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-const UP: &str = "GET /up HTTP/1.1\r\nHost: svc\r\n\r\n";
 /// Within this a process that starts is to be ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Descriptors that the system lets a process have where they are short.
 const DESCRIPTORS: u32 = 256;
 
-/// A process of the program whose start nobody waits for, under the system's own limit on descriptors.
-struct Process {
-    child: Child,
-    file: PathBuf,
-    address: SocketAddr,
-}
-
-impl Process {
-    fn start(config: &Value) -> Process {
-        let address: SocketAddr =
-            config["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
-        let file = std::env::temp_dir().join(format!("merlinreel-starts-{}.json", address.port()));
-        std::fs::write(&file, config.to_string()).expect("a file for the configuration");
-        let child = Process::run(&file);
-        Process { child, file, address }
-    }
-
-    fn run(file: &PathBuf) -> Child {
-        let limited = format!("ulimit -n {DESCRIPTORS} && exec \"$0\"");
-        let mut command = Command::new("sh");
-        command.args(["-c", &limited, env!("CARGO_BIN_EXE_merlinreel")]).env("PROXY_CONFIG", file);
-        command.stderr(Stdio::null()).stdout(Stdio::null()).spawn().expect("the program")
-    }
-
-    fn kill(&mut self) {
-        self.child.kill().expect("killed");
-        self.child.wait().expect("an end");
-    }
-
-    fn start_again(&mut self) {
-        self.child = Process::run(&self.file);
-    }
-
-    /// Whether it says that it is ready before `until`.
-    fn is_ready_by(&self, until: Instant) -> bool {
-        while Instant::now() < until {
-            if self.says_up(until) {
-                return true;
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        false
-    }
-
-    fn says_up(&self, until: Instant) -> bool {
-        let wait = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.address, wait) else { return false };
-        stream.set_read_timeout(Some(wait)).expect("a time-out");
-        let mut status = [0; 12];
-        let called = stream.write_all(UP.as_bytes()).and_then(|()| stream.read_exact(&mut status));
-        called.is_ok() && &status == b"HTTP/1.1 200"
-    }
-
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
-    }
-
-    fn client(&self) -> Client {
-        Client::connect(self.address).expect("a connection")
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
 /// A discovery that takes calls and says nothing until it is given a list; then each call has that.
 struct Mute {
     standin: StandIn,
@@ -161,7 +89,7 @@
 
 /// Each of these customers comes for the first time and is served. One that is held up between its connection and its
 /// request may be taken for silent: it comes again, as clients do.
-fn asks(process: &Process, customers: Range<u64>) {
+fn asks(process: &LimitedProcess, customers: Range<u64>) {
     for customer in customers {
         let come = |_| process.client().call(&job("look", customer as u32, 1, "3000m"));
         assert_eq!((0..50).find_map(come).map(|answer| answer.status()), Some(200), "{customer}");
@@ -177,7 +105,7 @@
     let mut config = config(&[listed("s-1", old.address, "up")]);
     config["discovery"] = discovery.standin.address.to_string().into();
     config["limits"]["sockets"] = DESCRIPTORS.into();
-    let process = Process::start(&config);
+    let process = LimitedProcess::start(&config, DESCRIPTORS);
     assert!(process.is_ready_by(Instant::now() + READY_WITHIN));
     let crowd = Crowd::start(process.address, 400);
     let until = Instant::now() + PATIENCE;
@@ -219,14 +147,14 @@
     let start = |_| {
         let mut config = config(&[listed("s-1", server.address, "up")]);
         config["discovery"] = at.to_string().into();
-        Process::start(&config)
+        LimitedProcess::start(&config, DESCRIPTORS)
     };
-    let mut fleet: Vec<Process> = (0..10).map(start).collect();
+    let mut fleet: Vec<LimitedProcess> = (0..10).map(start).collect();
     let until = Instant::now() + PATIENCE;
     assert!(fleet.iter().all(|process| process.is_ready_by(until)));
-    fleet.iter_mut().for_each(Process::kill);
+    fleet.iter_mut().for_each(LimitedProcess::kill);
     let until = Instant::now() + READY_WITHIN;
-    fleet.iter_mut().for_each(Process::start_again);
+    fleet.iter_mut().for_each(LimitedProcess::start_again);
     let ready = thread::scope(|scope| {
         let each: Vec<_> =
             fleet.iter().map(|process| scope.spawn(move || process.is_ready_by(until))).collect();
@@ -301,7 +229,7 @@
     let discovery = Trickle::start(&list, PIECES);
     let mut config = config(&[listed("s-1", old.address, "up")]);
     config["discovery"] = discovery.address.to_string().into();
-    let process = Process::start(&config);
+    let process = LimitedProcess::start(&config, DESCRIPTORS);
     assert!(process.is_ready_by(Instant::now() + READY_WITHIN));
     assert_eq!(discovery.whole.load(Ordering::SeqCst), 0, "it started with its own list");
     assert_eq!(process.client().job("look", 1, 1).status(), 200);
