Faults of this machine: accept, connect and bind are tried again, and say nothing of servers

Ruled out: ECONNABORTED and EINTR at accept, which held. Lines at fault: take_waiting returned at any other error; open took each error of connect for a dead server; Served after NoConnection made it cold.

--- a/crates/merlinreel-core/src/decide.rs
+++ b/crates/merlinreel-core/src/decide.rs
@@ -17,7 +17,7 @@
 use crate::*;
 use nanorand::Rng;
 pub(crate) use quotas::ASKED_OVER;
-use servers::{next_level, watched};
+use servers::{next_level, reaches_none, watched};
 
 /// Rows that surely fit into the one peer message that a peer's inbox takes: twelve bytes of head, nine a row.
 const ROWS: usize = (peer_message::MOST_BYTES - 12) / 9;
--- a/crates/merlinreel-core/src/decide/requests.rs
+++ b/crates/merlinreel-core/src/decide/requests.rs
@@ -69,7 +69,10 @@
                     server.errors *= 0.9;
                     self.erring *= 0.99;
                     (server.strikes, server.drops) = (0, 0);
-                    if std::mem::take(&mut server.down) {
+                    // What no server could be reached for is this limiter's own doing: none has started anew by it.
+                    let since = server.unreachable_since.take();
+                    let cut_off = since.is_some_and(|since| self.cut_off_at.is_some_and(|at| at >= since));
+                    if std::mem::take(&mut server.down) && !cut_off {
                         server.cold_since = Some(now);
                     }
                 }
@@ -91,12 +94,20 @@
                     server.benched_until = server.benched_until.max(now + Duration::from_millis(100));
                 }
                 Ending::NoConnection => {
+                    (server.down, server.unreachable_since) = (true, None);
+                    server.strike(now);
+                }
+                Ending::Unreachable => {
                     server.down = true;
+                    server.unreachable_since.get_or_insert(now);
                     server.strike(now);
                 }
                 _ => {}
             }
         }
+        if end.ending == Ending::Unreachable && reaches_none(&self.servers) {
+            self.cut_off_at = Some(now);
+        }
         if !end.ending.never_ran() && open.ran.is_none() {
             open.ran = Some((end.server, sent));
         }
--- a/crates/merlinreel-core/src/decide/servers.rs
+++ b/crates/merlinreel-core/src/decide/servers.rs
@@ -28,6 +28,15 @@
     (level * if down { fall } else { grown }).clamp(1.0, most)
 }
 
+/// Whether no server that this limiter sends to could be reached since it answered last. Guards against a fleet taken
+/// for cold at a stroke after a fault of this limiter's own machine or network (source: local health in failure
+/// detectors, Dadgar, Phillips and Currey, Lifeguard, 2017). A single server's own end looks alike: the list tells of
+/// its start then.
+pub(super) fn reaches_none(servers: &[Option<Server>]) -> bool {
+    let mut regular = servers.iter().flatten().filter(|server| server.listed && !server.aside);
+    regular.all(|server| server.unreachable_since.is_some())
+}
+
 impl Server {
     pub(super) fn new(entry: ServerEntry, rules: &ServerRules, limiters: u32) -> Server {
         Server {
--- a/crates/merlinreel-core/src/decide/tests/servers.rs
+++ b/crates/merlinreel-core/src/decide/tests/servers.rs
@@ -79,6 +79,7 @@
 #[test_case(Ending::Dropped, 2, 0.4 => (0, false) ; "three in a row are chance where all fail often")]
 #[test_case(Ending::Dropped, 9, 0.4 => (1, false) ; "ten are not")]
 #[test_case(Ending::NoConnection, 0, 0.0 => (1, true) ; "no connection: the process is gone")]
+#[test_case(Ending::Unreachable, 0, 0.0 => (1, true) ; "no connection came up: it may be gone")]
 #[test_case(Ending::Error, 0, 0.4 => (0, false) ; "what all servers share is no server's doing")]
 fn failing(ending: Ending, drops: u32, erring: f64) -> (u32, bool) {
     let mut limiter = on_attempt(Repeats::Replayable);
@@ -90,6 +91,22 @@
     limiter.servers[0].as_ref().map_or((9, false), |server| (server.strikes, server.down))
 }
 
+/// Server 0 could not be reached and then answers; whether it is taken for one that has just started.
+#[test_case(Ending::Unreachable, true => false ; "nor could any other: it was this limiter's own trouble")]
+#[test_case(Ending::Unreachable, false => true ; "others could be")]
+#[test_case(Ending::NoConnection, true => true ; "it refused: its process was gone")]
+fn back_from_unreachable(ending: Ending, others_too: bool) -> bool {
+    let mut limiter = on_attempt(Repeats::Replayable);
+    if let Some(other) = limiter.servers[1].as_mut() {
+        other.unreachable_since = others_too.then_some(at(1.05));
+    }
+    let mut notes = Notes::default();
+    limiter.end_attempt(at(1.1), &attempt_end(ending, false), &mut notes);
+    limiter.jobs = on_attempt(Repeats::Replayable).jobs;
+    limiter.end_attempt(at(2.0), &attempt_end(Ending::Served, true), &mut notes);
+    limiter.servers[0].as_ref().is_some_and(|server| server.cold_since.is_some())
+}
+
 #[test]
 fn parts_of_a_credit_go_by_turns() {
     let sends = |me: u32| {
--- a/crates/merlinreel-core/src/lib.rs
+++ b/crates/merlinreel-core/src/lib.rs
@@ -175,7 +175,10 @@
     /// The server turned it away unseen.
     TurnedAway,
     Expired,
+    /// The server's machine refused the connection: its process is gone.
     NoConnection,
+    /// No connection came up, and nothing was heard of why: the server is gone, cut off, or this limiter is.
+    Unreachable,
     Dropped,
     Revoked,
     /// Never left the limiter.
@@ -184,7 +187,7 @@
 
 impl Ending {
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::TurnedAway | Ending::NoConnection | Ending::Unsent)
+        matches!(self, Ending::TurnedAway | Ending::NoConnection | Ending::Unreachable | Ending::Unsent)
     }
 }
 
--- a/crates/merlinreel-core/src/state.rs
+++ b/crates/merlinreel-core/src/state.rs
@@ -106,6 +106,8 @@
     pub owing_since: Duration,
     pub cold_since: Option<Duration>,
     pub down: bool,
+    /// Since when no connection to it came up, with no answer since and no refusal.
+    pub unreachable_since: Option<Duration>,
     pub sends: Ring,
     pub cut_at: Duration,
     /// Times it was looked at since the server list or a job spoke of it.
@@ -142,6 +144,8 @@
     pub(crate) warm_sends: f64,
     /// Servers had credit to spare at the last choice.
     pub(crate) idle: bool,
+    /// When no server at all could be reached last.
+    pub(crate) cut_off_at: Option<Duration>,
     /// What answers take while servers are calm, and what tells it.
     pub(crate) calm: f64,
     pub(crate) answers: Ring,
@@ -284,6 +288,7 @@
             reach: 1.0,
             warm_sends: 0.0,
             idle: false,
+            cut_off_at: None,
             accounts: Vec::new(),
             free_accounts: Vec::new(),
             by_customer: HashMap::new(),
--- a/crates/merlinreel/src/clients/stop.rs
+++ b/crates/merlinreel/src/clients/stop.rs
@@ -5,7 +5,9 @@
 
 use super::Door;
 use super::connection::{ClientConnection, lock};
+use crate::backoff::Backoff;
 use crate::log;
+use crate::system_errors::concerns_one_connection;
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
@@ -19,6 +21,20 @@
 /// for the news that its client left, whatever else waits there.
 type Seat = (OwnedSemaphorePermit, mpsc::OwnedPermit<crate::messages::News>);
 
+/// What a stop still waits for.
+struct Remaining {
+    /// Any connection at all.
+    left: bool,
+    /// A request in hand, or an answer that its client has not read yet.
+    bound: bool,
+}
+
+/// A connection that the kernel gave, handed to the poller.
+fn adopt(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
 impl Door {
     /// When the last job has its answer, once the stop was asked for.
     pub(super) fn stops_at(&self) -> Option<Instant> {
@@ -63,28 +79,30 @@
             () = sleep(late) => {}
             () = self.empty(self.limits.stop_quiet) => {}
         }
-        if let Err(error) = self.take_waiting(listener, &places).await {
-            log!("clients: connections that wait can't be taken at the stop: {error}");
+        // Meanwhile those that rest make room for those that wait.
+        tokio::select! {
+            swept = self.take_waiting(listener, &places) => if let Err(error) = swept {
+                log!("clients: connections that wait can't be taken at the stop: {error}");
+            },
+            () = self.go_on_emptying() => {}
         }
         self.empty(Duration::ZERO).await;
     }
 
+    /// Has connections close between requests without end.
+    async fn go_on_emptying(&self) {
+        loop {
+            self.evict_resting();
+            sleep(self.limits.stop_quiet / 20).await;
+        }
+    }
+
     /// Has connections close between requests until none is left, and none has come for `quiet`; once the stop's
     /// time is over, until nothing is in hand.
     async fn empty(&self, quiet: Duration) {
         let mut since = Instant::now();
-        let closes = self.asked.get().map(|&asked| asked + self.limits.stop_closes);
         loop {
-            let late = closes.is_some_and(|at| at <= Instant::now());
-            let (mut left, mut bound) = (false, self.in_hand() > 0);
-            for client_connection in lock(&self.client_connections).values() {
-                left = true;
-                if client_connection.may_go(&self.limits, late) {
-                    client_connection.evict();
-                }
-                // Nor while the rest of an answer waits for a client that reads slowly.
-                bound |= lock(&client_connection.times).held_up(&self.limits);
-            }
+            let Remaining { left, bound } = self.evict_resting();
             let over = self.stops_at().is_some_and(|end| end <= Instant::now());
             if left && (bound || !over) {
                 since = Instant::now();
@@ -95,21 +113,44 @@
         }
     }
 
+    /// Has the connections that rest close, and tells what remains.
+    fn evict_resting(&self) -> Remaining {
+        let closes = self.asked.get().map(|&asked| asked + self.limits.stop_closes);
+        let late = closes.is_some_and(|at| at <= Instant::now());
+        let mut remaining = Remaining { left: false, bound: self.in_hand() > 0 };
+        for client_connection in lock(&self.client_connections).values() {
+            remaining.left = true;
+            if client_connection.may_go(&self.limits, late) {
+                client_connection.evict();
+            }
+            // Nor while the rest of an answer waits for a client that reads slowly.
+            remaining.bound |= lock(&client_connection.times).held_up(&self.limits);
+        }
+        remaining
+    }
+
     async fn accept(self: &Arc<Door>, listener: &TcpListener, places: &Arc<Semaphore>) {
+        let mut backoff = Backoff::default();
         loop {
             let Some(seat) = self.seat(places).await else { return };
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream, seat),
+                Ok((stream, _)) => {
+                    backoff.reset();
+                    self.admit(stream, seat);
+                }
                 Err(error) => {
                     log!("clients: {error}");
-                    sleep(Duration::from_millis(10)).await;
+                    if !concerns_one_connection(&error) {
+                        backoff.pause().await;
+                    }
                 }
             }
         }
     }
 
     /// Takes all connections that wait on the socket, then lets go of it. Guards them against the end of the
-    /// socket: the kernel resets what waits there, the requests on it unread.
+    /// socket: the kernel resets what waits there, the requests on it unread. Where they can't be taken just then, for
+    /// want of descriptors or memory, it goes on trying until the stop's end.
     pub(super) async fn take_waiting(
         self: &Arc<Door>,
         listener: TcpListener,
@@ -117,15 +158,17 @@
     ) -> io::Result<()> {
         // Asked of the kernel itself: the poller may not have told of the last ones yet.
         let listener = listener.into_std()?;
+        let mut backoff = Backoff::default();
         while let Some(seat) = self.seat(places).await {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    self.admit(TcpStream::from_std(stream)?, seat);
+            match listener.accept().and_then(|(stream, _)| adopt(stream)) {
+                Ok(stream) => {
+                    backoff.reset();
+                    self.admit(stream, seat);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(error) => return Err(error),
+                Err(error) if concerns_one_connection(&error) => {}
+                Err(error) if self.stops_at().is_some_and(|end| end <= Instant::now()) => return Err(error),
+                Err(_) => backoff.pause().await,
             }
         }
         Ok(())
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -2,6 +2,7 @@
 //! has one job; `driver` is the only one that knows the module.
 
 pub mod answers;
+pub mod backoff;
 pub mod claims;
 pub mod clients;
 pub mod config;
@@ -18,11 +19,15 @@
 pub mod peers;
 pub mod servers;
 pub mod stream;
+pub mod system_errors;
 
+use backoff::Backoff;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+use system_errors::is_of_this_machine;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
@@ -40,6 +45,18 @@
     }
 }
 
+/// Binds a socket, again and again for a while where this machine can't just then. Guards a start against a fault that
+/// is over in a moment, as an address that the process before still holds.
+async fn bound<T>(within: Duration, bind: impl AsyncFn() -> io::Result<T>) -> io::Result<T> {
+    let (begun, mut backoff) = (Instant::now(), Backoff::default());
+    loop {
+        match bind().await {
+            Err(error) if is_of_this_machine(&error) && begun.elapsed() < within => backoff.pause().await,
+            result => return result,
+        }
+    }
+}
+
 /// What the operators' door tells.
 struct Told {
     door: Arc<clients::Door>,
@@ -101,18 +118,19 @@
     let (queue, news) = mpsc::channel(limits.queue);
     let inherited = handed.is_some();
     let post = match peer_listen.filter(|_| terms.peers.peer_messages) {
-        Some(at) => Some(
-            peers::Post::open(at, &peers, inherited)
-                .await
-                .map_err(|error| named("peer_listen", at, error))?,
-        ),
+        Some(at) => {
+            let post = bound(limits.bind, async || peers::Post::open(at, &peers, inherited).await).await;
+            Some(post.map_err(|error| named("peer_listen", at, error))?)
+        }
         None => None,
     };
     let listener = match handed {
         Some(handed) => {
             TcpListener::from_std(handed).map_err(|error| named("PROXY_LISTEN_FD", listen, error))?
         }
-        None => TcpListener::bind(listen).await.map_err(|error| named("listen", listen, error))?,
+        None => bound(limits.bind, async || TcpListener::bind(listen).await)
+            .await
+            .map_err(|error| named("listen", listen, error))?,
     };
     let version = known.as_ref().map(|known| known.version);
     let servers = servers::Servers::new(limits.clone(), &terms, queue.clone(), figures.clone());
@@ -158,7 +176,9 @@
     }
     let told = taking.as_ref().map(|taking| taking.mesh.clone());
     if let Some(at) = ops {
-        let listener = TcpListener::bind(at).await.map_err(|error| named("ops", at, error))?;
+        let listener = bound(limits.bind, async || TcpListener::bind(at).await)
+            .await
+            .map_err(|error| named("ops", at, error))?;
         others.push(tokio::spawn(ops::attend(
             listener,
             limits,
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -37,6 +37,8 @@
     pub flowing: u64,
     /// Bytes of a list of servers, as discovery's answer brings it.
     pub server_list: usize,
+    /// A socket that can't be bound at the start is tried for so long.
+    pub bind: Duration,
     /// A connection to a server must be up within this.
     pub connect: Duration,
     /// One that is idle for this long is dropped; a server that ends one behind an answer does so within this.
@@ -137,6 +139,8 @@
             // Answers of these days reach 32 MB; far more is a server's fault, and would hold a client for hours.
             flowing: 1 << 30,
             server_list: (((memory_mb as usize) << 20) / LIST_PART).max(LEAST_LIST),
+            // Well within the time in which a process is to be ready.
+            bind: Duration::from_secs(3),
             connect: if connect.is_zero() { Duration::from_millis(250) } else { connect },
             // What is written to a connection that the server just closed is lost: far from that moment.
             server_idle: idle.mul_f64(0.6),
--- a/crates/merlinreel/src/ops.rs
+++ b/crates/merlinreel/src/ops.rs
@@ -3,6 +3,7 @@
 //! Each connection is its own task and must bring a whole call within `Limits::ops_call`, so that a caller who
 //! stalls delays nobody; at most `Limits::ops_connections` are open, and a newcomer beyond that ends the oldest.
 
+use crate::backoff::Backoff;
 use crate::decode::respond;
 use crate::limits::Limits;
 use crate::log;
@@ -15,10 +16,9 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// What the door tells: whether the process serves, and the figures as text.
 pub trait Telling: Send + Sync + 'static {
@@ -50,16 +50,18 @@
 /// Serves the door until the task is dropped.
 pub async fn attend(listener: TcpListener, limits: Limits, telling: Arc<dyn Telling>) {
     let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut backoff = Backoff::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log!("ops: {error}");
                 // Guards against a loop that spins while descriptors are out.
-                sleep(Duration::from_millis(10)).await;
+                backoff.pause().await;
                 continue;
             }
         };
+        backoff.reset();
         open.retain(|task| !task.is_finished());
         // Guards against callers who hold connections and never call: the oldest gives way to who comes.
         while open.len() >= limits.ops_connections {
--- a/crates/merlinreel/src/peers.rs
+++ b/crates/merlinreel/src/peers.rs
@@ -1,5 +1,6 @@
 //! Peer messages between limiters: datagrams, known by the address they come from.
 
+use crate::backoff::Backoff;
 use crate::log;
 use crate::messages::{News, Queue};
 use merlinreel_core::PeerMessage;
@@ -50,9 +51,11 @@
     pub async fn receive(self, queue: Queue) {
         let senders: HashMap<SocketAddr, u32> = self.peers.iter().copied().zip(0..).collect();
         let mut buffer = [0; MOST_BYTES + 1];
+        let mut backoff = Backoff::default();
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, from)) if length <= MOST_BYTES => {
+                    backoff.reset();
                     if let Some(&from) = senders.get(&from) {
                         let bytes = buffer[..length].to_vec();
                         let _ = queue.try_send(News::PeerMessage(PeerMessage { from, bytes }));
@@ -60,7 +63,11 @@
                 }
                 Ok(_) => {}
                 // What the network says of a peer that is away is no trouble of this socket's.
-                Err(error) => log!("peer messages: {error}"),
+                Err(error) => {
+                    log!("peer messages: {error}");
+                    // Guards the processor against one that stays.
+                    backoff.pause().await;
+                }
             }
         }
     }
--- a/crates/merlinreel/src/servers/upstream.rs
+++ b/crates/merlinreel/src/servers/upstream.rs
@@ -5,17 +5,19 @@
 use super::unasked::{UnaskedBytes, is_unasked};
 use super::{Attempt, Command};
 use crate::answers::AnswerMemory;
+use crate::backoff::Backoff;
 use crate::figures::{Figures, class_of};
 use crate::limits::Limits;
 use crate::log;
 use crate::messages::{AttemptNews, News, Queue};
 use crate::stream::{Tallied, Tally};
+use crate::system_errors::is_of_this_machine;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use merlinreel_core::Ending;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -61,6 +63,21 @@
 
 type Wire = Connection<TokioIo<Tallied<Sent>>, Full<Bytes>>;
 
+/// Connects, again and again while this machine can't: a fault of its own says nothing of the server, and may be over in
+/// a moment.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let mut backoff = Backoff::default();
+    loop {
+        match TcpStream::connect(address).await {
+            Err(error) if is_of_this_machine(&error) => {
+                log!("server at {address}: {error}; this machine can't connect, tried again");
+                backoff.pause().await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Told when an answer that flows has ended: whole, or not.
 type Ended = tokio::sync::oneshot::Receiver<bool>;
 
@@ -164,30 +181,33 @@
         let stream = tokio::select! {
             biased;
             () = self.abandoned(attempt.serial, || false) => return Err(Ending::Unsent),
-            stream = timeout(within, TcpStream::connect(address)) => stream,
+            stream = timeout(within, connect(address)) => stream,
             () = sleep_until(attempt.written_by().into()) => return Err(match attempt.begins_by {
                 Some(_) => Ending::Unsent,
-                None => Ending::NoConnection,
+                None => Ending::Unreachable,
             }),
         };
         let stream = match stream {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log!("server at {address}: no connection: {error}");
-                // Reset is one that was up, refused is none.
-                let up = error.kind() == ErrorKind::ConnectionReset;
-                return Err(if up { Ending::TurnedAway } else { Ending::NoConnection });
+                return Err(match error.kind() {
+                    // It was up.
+                    ErrorKind::ConnectionReset => Ending::TurnedAway,
+                    ErrorKind::ConnectionRefused => Ending::NoConnection,
+                    _ => Ending::Unreachable,
+                });
             }
             Err(_) => {
                 log!("server at {address}: no connection within {within:?}");
-                return Err(Ending::NoConnection);
+                return Err(Ending::Unreachable);
             }
         };
         let _ = stream.set_nodelay(true);
         let sent = Arc::new(Sent::new(self.unasked.clone()));
         let io = TokioIo::new(Tallied::new(stream, sent.clone()));
         let shaken = Builder::new().max_buf_size(head).handshake(io).await;
-        let (sender, connection) = shaken.map_err(|_| Ending::NoConnection)?;
+        let (sender, connection) = shaken.map_err(|_| Ending::Unreachable)?;
         Ok(OpenConnection { sender, connection: Box::pin(connection), sent, over: false })
     }
 
