--- a/crates/merlinreel-testbed/src/client.rs
+++ b/crates/merlinreel-testbed/src/client.rs
@@ -30,6 +30,11 @@
         let _ = self.to.write_all(text.as_bytes());
     }
 
+    /// A second handle, to write beside the reading.
+    pub fn writer(&self) -> io::Result<TcpStream> {
+        self.to.try_clone()
+    }
+
     /// None where the connection ends without an answer.
     pub fn receive(&mut self) -> Option<Message> {
         self.receive_or_error().ok().flatten()
--- a/crates/merlinreel/src/clients/tests.rs
+++ b/crates/merlinreel/src/clients/tests.rs
@@ -271,6 +271,33 @@
     Ok(())
 }
 
+/// What crosses the end of the limiter's side is not read: a request in it was read by nobody, and its client may send it
+/// again. The close is over as soon as the client ends its side, whatever lies unread.
+#[tokio::test]
+async fn nothing_is_read_after_the_limiter_s_side_has_ended() -> std::io::Result<()> {
+    use std::io::{Read, Write};
+    let (mut client, stream) = came_with(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")?;
+    let stream = stream.into_std()?;
+    let kernel = stream.try_clone()?;
+    let limits = Limits { client_lingers: Duration::from_secs(3600), ..limits() };
+    let (door, mut news) = open_door(limits);
+    let (client_connection, serving) = served(&door, TcpStream::from_std(stream)?);
+    marked(&client_connection.closing).await;
+    let crossing = tokio::task::spawn_blocking(move || {
+        client.read_to_string(&mut String::new())?;
+        client.write_all(LOOK)?;
+        // Time enough for a reader that reads.
+        std::thread::sleep(Duration::from_millis(100));
+        Ok::<_, std::io::Error>(client)
+    });
+    let client = crossing.await.expect("written")?;
+    assert_eq!(kernel.peek(&mut [0; 1024])?, LOOK.len());
+    drop(client);
+    tokio::time::timeout(Duration::from_secs(20), serving).await.expect("over").expect("served");
+    assert!(news.try_recv().is_err());
+    Ok(())
+}
+
 /// A client that rests until it is ended, and then goes on resting: its place is given to another at once, and the close
 /// is over in its time.
 #[test_case(true ; "another needs the place")]
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod limited_process;
 mod mesh;
 mod operations;
+mod pipelining;
 mod request_bodies;
 mod starts;
 mod stop;
