Clients' connections: what is read is answered, timed from its arrival, and nothing is read behind the end

Ruled out: the HTTP library, which hands over each request that it is given. Lines at fault: Line::look_ahead dropped what came beyond 8 KiB behind a request; serve_on told the closing with any answer of a stop, whatever had been read behind it; Door::request timed a request from its turn; Door::let_go took half a request in the library's buffer for rest, and a closed connection dropped that buffer; Line::poll_shutdown read and dropped for 0.25 s.

--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -1,5 +1,6 @@
 //! Clients' connections: takes jobs in, hands them to the driver, and gives each one answer.
 
+mod arrivals;
 mod connection;
 mod framing;
 mod hand;
@@ -77,9 +78,7 @@
     /// A job in hand has ended: its connection rests from now on.
     fn let_go(&self, client_connection: &ClientConnection) {
         self.in_hand.fetch_sub(1, Ordering::Relaxed);
-        let mut times = lock(&client_connection.times);
-        (times.idle, times.heard) = (Instant::now(), None);
-        drop(times);
+        client_connection.rest();
         client_connection.busy.store(false, Ordering::Relaxed);
     }
 
@@ -93,6 +92,16 @@
         self.opened.load(Ordering::Relaxed) && self.asked.get().is_none()
     }
 
+    /// Whether an answer tells that its connection closes. Guards requests against crossing the end of their connection,
+    /// which their client can only send again; and those that were read behind it against a close with no answer: the
+    /// last of them tells it, unless some were dropped or the stop's time is over.
+    fn tells_closing(&self, client_connection: &ClientConnection) -> bool {
+        let ends = self.closing.load(Ordering::Relaxed) || client_connection.evicted.load(Ordering::Relaxed);
+        let over = self.stops_at().is_some_and(|end| end + self.limits.stop_over <= Instant::now());
+        client_connection.flooded.load(Ordering::Relaxed)
+            || ends && (over || !client_connection.more_was_read())
+    }
+
     fn make_room(&self) {
         for client_connection in who_gives_way(lock(&self.client_connections).values(), &self.limits) {
             client_connection.evict();
@@ -101,7 +110,8 @@
 
     async fn serve(self: &Arc<Door>, stream: TcpStream, client_connection: Arc<ClientConnection>) {
         let _ = stream.set_nodelay(true);
-        let mut io = TokioIo::new(Line::new(stream, client_connection.clone(), &self.limits));
+        let mut io =
+            TokioIo::new(Line::new(stream, client_connection.clone(), &self.limits, self.claims.clone()));
         while let Some(mut rests) = self.serve_on(io, &client_connection).await {
             // The kernel is asked last: what came since the poller looked must not meet the end.
             if !rests.inner().waits() {
@@ -117,10 +127,11 @@
         let service = service_fn(|request| {
             let (door, client_connection) = (self.clone(), client_connection.clone());
             // Asked here, not in the request's own turn: the next head may have been read by then.
-            let observed = client_connection.observed();
+            let (observed, arrived) = (client_connection.observed(), client_connection.arrived());
+            client_connection.consume();
             async move {
                 let (class, up) = (class_of(request.uri().path()).to_owned(), request.uri().path() == "/up");
-                let mut answer = door.request(request, observed, &client_connection).await;
+                let mut answer = door.request(request, observed, arrived, &client_connection).await;
                 let status = answer.status().as_u16();
                 match answer.body_mut() {
                     Either::Right(flow) => {
@@ -129,9 +140,7 @@
                     Either::Left(_) if !up => door.figures.answered(&class, Outcome::of(status)),
                     Either::Left(_) => {}
                 }
-                // The closing is told where an answer goes out: guards requests against crossing the end of their
-                // connection, which their client can only send again.
-                if door.closing.load(Ordering::Relaxed) || client_connection.evicted.load(Ordering::Relaxed) {
+                if door.tells_closing(&client_connection) {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer)
@@ -164,7 +173,10 @@
                             client_connection.close(connection.into_parts().io.inner_mut()).await;
                             return None;
                         }
-                        return Some(connection.into_parts().io);
+                        let parts = connection.into_parts();
+                        let mut io = parts.io;
+                        io.inner_mut().give_back(parts.read_buf);
+                        return Some(io);
                     }
                     // What came has its answer, which tells the closing; asked to shut down, the library would end
                     // a connection that holds half a head.
--- a/crates/merlinreel/src/clients/connection.rs
+++ b/crates/merlinreel/src/clients/connection.rs
@@ -5,7 +5,7 @@
 use crate::limits::Limits;
 use crate::messages::News;
 use crate::stream::Tally;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::io::AsyncWriteExt;
@@ -20,6 +20,13 @@
     pub evicted: AtomicBool,
     /// The limiter's side has ended: nothing is read for a request any more.
     pub closing: AtomicBool,
+    /// More came behind a request than is kept: some of it was dropped.
+    pub flooded: AtomicBool,
+    /// Bytes that the HTTP library was given, and those of them that make up the requests before the next one.
+    pub handed: AtomicU64,
+    consumed: AtomicU64,
+    /// Bytes that were read and that the library was not given yet.
+    pub ahead: AtomicUsize,
     /// The head that the HTTP library read last has a line of Content-Length.
     content_length: AtomicBool,
     pub times: Mutex<Times>,
@@ -28,9 +35,10 @@
     pub leaving: Mutex<Option<mpsc::OwnedPermit<News>>>,
 }
 
-/// Since when it waits for a request, since when part of one is there, and since when the rest of an answer waits
-/// for the client to read on.
+/// Since when it waits for a request, since when part of one is there, since when the rest of an answer waits
+/// for the client to read on, and when the head that the HTTP library read last had come.
 pub struct Times {
+    pub arrived: Instant,
     pub idle: Instant,
     pub heard: Option<Instant>,
     pub held_up: Option<Instant>,
@@ -51,16 +59,59 @@
             requests: AtomicUsize::new(0),
             evicted: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            flooded: AtomicBool::new(false),
+            handed: AtomicU64::new(0),
+            consumed: AtomicU64::new(0),
+            ahead: AtomicUsize::new(0),
             content_length: AtomicBool::new(false),
-            times: Mutex::new(Times { idle: Instant::now(), heard: None, held_up: None }),
+            times: Mutex::new(Times {
+                arrived: Instant::now(),
+                idle: Instant::now(),
+                heard: None,
+                held_up: None,
+            }),
             close: Notify::new(),
             leaving: Mutex::new(Some(leaving)),
         }
     }
 
-    /// A head has gone to the HTTP library.
-    pub fn observe(&self, head: ObservedHead) {
+    /// A head has gone to the HTTP library, which came then.
+    pub fn observe(&self, head: ObservedHead, arrived: Instant) {
         self.content_length.store(head.content_length, Ordering::Relaxed);
+        lock(&self.times).arrived = arrived;
+    }
+
+    /// When the head came that the HTTP library read last; see [`ClientConnection::observed`] for whose that is.
+    pub fn arrived(&self) -> Instant {
+        lock(&self.times).arrived
+    }
+
+    /// What the HTTP library was given so far makes up whole requests, or heads with their body to come. The library hands
+    /// a request over with nothing behind its head, and a body in chunks ends with a section.
+    pub fn consume(&self) {
+        self.consumed.store(self.handed.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+
+    /// So many bytes more make up the request whose head was consumed last.
+    pub fn extend_consumed(&self, body: u64) {
+        self.consumed.fetch_add(body, Ordering::Relaxed);
+    }
+
+    /// Whether the HTTP library has read part of the next request, or all of it.
+    fn next_begun(&self) -> bool {
+        self.handed.load(Ordering::Relaxed) > self.consumed.load(Ordering::Relaxed)
+    }
+
+    /// Whether anything was read behind the request in hand.
+    pub fn more_was_read(&self) -> bool {
+        self.next_begun() || self.ahead.load(Ordering::Relaxed) > 0
+    }
+
+    /// It rests from now on, but for what was read of the next request meanwhile.
+    pub fn rest(&self) {
+        let heard = self.next_begun().then(Instant::now);
+        let mut times = lock(&self.times);
+        (times.idle, times.heard) = (Instant::now(), heard);
     }
 
     /// What the head showed that the HTTP library read last. That is the head of a request only while the library hands
@@ -153,6 +204,11 @@
         }
     }
 
+    /// Part of a request is there.
+    fn expects_more(&self) -> bool {
+        !self.busy.load(Ordering::Relaxed) && lock(&self.times).heard.is_some()
+    }
+
     fn held_up(&self) {
         // From the first time on: a write is tried again at every turn, read on or not.
         lock(&self.times).held_up.get_or_insert_with(Instant::now);
--- a/crates/merlinreel/src/clients/intake.rs
+++ b/crates/merlinreel/src/clients/intake.rs
@@ -1,7 +1,7 @@
 //! A request taken in: read whole, handed to the driver as a job, and answered.
 
 use super::Door;
-use super::connection::{ClientConnection, lock};
+use super::connection::ClientConnection;
 use super::framing::{self, ObservedHead};
 use super::hand::{Attending, Hand};
 use crate::decode::{TXN, decode, encode, last, respond};
@@ -48,15 +48,15 @@
 }
 
 impl Door {
-    /// The answer to a request, whose head showed what is `observed`.
+    /// The answer to a request, whose head showed what is `observed` and came at `sent`: the client's time runs from its
+    /// sending, and that is the earliest that is known of it here.
     pub(super) async fn request(
         &self,
         request: Request<Incoming>,
         observed: ObservedHead,
+        sent: Instant,
         client_connection: &ClientConnection,
     ) -> Response<Reply> {
-        // The client's time runs from its sending: this is the earliest that is known of it here.
-        let sent = Instant::now();
         if let Err(error) = framing::check(request.headers(), observed) {
             log!("clients: {error}: 400");
             return last(respond(StatusCode::BAD_REQUEST, format!("{error}\n"))).map(Either::Left);
@@ -64,18 +64,22 @@
         if request.uri().path() == "/up" {
             let status = if self.serves() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             // It rests again: else a stop would wait for the rest of a request.
-            let mut times = lock(&client_connection.times);
-            (times.idle, times.heard) = (Instant::now(), None);
-            drop(times);
+            client_connection.rest();
             return respond(status, String::new()).map(Either::Left);
         }
         // The whole request must be there by then, whatever time the client claims to have.
-        let due = client_connection.due(&self.limits).min(sent + self.limits.client_whole);
+        let due = client_connection.due(&self.limits).min(Instant::now() + self.limits.client_whole);
         client_connection.read(0);
+        let length = request.body().size_hint().exact();
         let (job, parcel) = match self.read(request, sent, due).await {
             Ok(whole) => whole,
             Err(answer) => return last(answer).map(Either::Left),
         };
+        // A body of told length was counted from its head on, one in chunks ends where the library stands.
+        match length {
+            Some(length) => client_connection.extend_consumed(length),
+            None => client_connection.consume(),
+        }
         let hand = Hand::take(self, client_connection);
         // The places beyond are kept to say so to whoever comes, at once.
         if hand.number >= self.limits.clients {
--- a/crates/merlinreel/src/clients/line.rs
+++ b/crates/merlinreel/src/clients/line.rs
@@ -1,26 +1,37 @@
 //! A client's connection as a stream. It sees the client's end while a request of it is in hand, whatever was sent
-//! behind that request, and it is closed in one way: what was written goes out, the limiter's side ends, and what
-//! still comes is read and dropped for a while. The HTTP library gets what it reads section by section, each up to a
-//! blank line, so that [`HeadScanner`] knows which head it has read last.
+//! behind that request, and it is closed in one way: what was written goes out, the limiter's side ends, and the
+//! client's end is waited for without reading what still comes. The HTTP library gets what it reads section by section,
+//! each up to a blank line, so that [`HeadScanner`] knows which head it has read last.
 
+use super::arrivals::Arrivals;
 use super::connection::ClientConnection;
 use super::framing::HeadScanner;
+use crate::claims::Claims;
 use crate::limits::Limits;
 use crate::stream::{Tallied, Tally};
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Sleep, sleep};
 
 /// Read at once where it is dropped or kept for later.
 const PIECE: usize = 4096;
 
+/// A connection whose limiter's side has ended.
+struct Closing {
+    /// Over then, where nothing lies unread.
+    lingered: Pin<Box<Sleep>>,
+    /// Over then in any case.
+    ends: Pin<Box<Sleep>>,
+}
+
 pub struct Line {
     stream: Tallied<ClientConnection>,
     client_connection: Arc<ClientConnection>,
@@ -29,27 +40,41 @@
     unread: BytesMut,
     /// So many of the unread bytes the library had room for itself; only those beyond were read ahead.
     had_room: usize,
+    arrivals: Arrivals,
+    /// What may be read ahead at all, and how much of that needs no place in the memory that bodies share.
     most_ahead: usize,
-    /// More came than any client of the protocol sends behind a request: it is dropped, and nothing behind it is read.
+    free_ahead: usize,
+    claims: Claims,
+    room: Option<OwnedSemaphorePermit>,
+    /// More came than that: the rest is dropped, and nothing behind it is read.
     flooded: bool,
-    /// How long and how much of what comes is dropped once the limiter's side has ended.
+    /// How long the client's end is waited for once the limiter's side has ended, and where something lies unread.
     lingers: Duration,
-    drops: usize,
-    closing: Option<Pin<Box<Sleep>>>,
+    lingers_over_unread: Duration,
+    closing: Option<Closing>,
 }
 
 impl Line {
-    pub fn new(stream: TcpStream, client_connection: Arc<ClientConnection>, limits: &Limits) -> Line {
+    pub fn new(
+        stream: TcpStream,
+        client_connection: Arc<ClientConnection>,
+        limits: &Limits,
+        claims: Claims,
+    ) -> Line {
         Line {
             stream: Tallied::new(stream, client_connection.clone()),
             client_connection,
             scanner: HeadScanner::default(),
             unread: BytesMut::new(),
             had_room: 0,
-            most_ahead: limits.head,
+            arrivals: Arrivals::default(),
+            most_ahead: limits.client_ahead,
+            free_ahead: limits.head,
+            claims,
+            room: None,
             flooded: false,
             lingers: limits.client_lingers,
-            drops: limits.client_drops,
+            lingers_over_unread: limits.client_whole.max(limits.client_lingers),
             closing: None,
         }
     }
@@ -59,11 +84,52 @@
         !self.unread.is_empty() || self.stream.waits()
     }
 
+    /// Takes back what the HTTP library had read and not used: the beginning of a request.
+    pub fn give_back(&mut self, bytes: Bytes) {
+        if bytes.is_empty() {
+            return;
+        }
+        let length = bytes.len();
+        let mut unread = BytesMut::from(bytes);
+        unread.extend_from_slice(&self.unread);
+        self.unread = unread;
+        self.had_room = self.unread.len();
+        self.scanner = HeadScanner::default();
+        self.arrivals.give_back(length);
+        self.tell_ahead();
+    }
+
+    fn tell_ahead(&self) {
+        self.client_connection.ahead.store(self.unread.len(), Ordering::Relaxed);
+    }
+
+    /// So many bytes were read ahead of the library.
+    fn ahead(&self) -> usize {
+        self.unread.len() - self.had_room
+    }
+
+    /// Takes a place for so many bytes read ahead, if the memory that bodies share has one.
+    fn claim_room(&mut self, ahead: usize) -> bool {
+        let held = self.free_ahead + self.room.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let Some(more) = ahead.checked_sub(held).filter(|&more| more > 0) else { return true };
+        match &mut self.room {
+            Some(room) => self.claims.grow(room, more),
+            None => {
+                self.room = self.claims.body(more);
+                self.room.is_some()
+            }
+        }
+    }
+
     /// Reads ahead while a request is in hand. Guards servers against jobs of clients that have gone: the HTTP library
-    /// stops reading once there is anything behind a request, and so never sees the end.
+    /// stops reading once there is anything behind a request, and so never sees the end. Where the memory has no place
+    /// just then nothing is read; what is longer than any client's requests is dropped, and its answer tells the closing.
     fn look_ahead(&mut self, cx: &mut Context) -> io::Result<()> {
         let mut piece = [0; PIECE];
         while self.closing.is_none() && self.client_connection.busy.load(Ordering::Relaxed) {
+            if !self.flooded && !self.claim_room(self.ahead() + PIECE) {
+                return Ok(());
+            }
             let mut into = ReadBuf::new(&mut piece);
             match Pin::new(&mut self.stream).poll_read(cx, &mut into) {
                 Poll::Pending => return Ok(()),
@@ -72,13 +138,13 @@
             if into.filled().is_empty() {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            let ahead = self.unread.len() - self.had_room + into.filled().len();
-            if self.flooded || ahead > self.most_ahead {
-                // Its answer tells the closing.
+            if self.flooded || self.ahead() + into.filled().len() > self.most_ahead {
                 self.flooded = true;
-                self.client_connection.evicted.store(true, Ordering::Relaxed);
+                self.client_connection.flooded.store(true, Ordering::Relaxed);
             } else {
+                self.arrivals.came(into.filled().len(), Instant::now());
                 self.unread.extend_from_slice(into.filled());
+                self.tell_ahead();
             }
         }
         Ok(())
@@ -88,9 +154,11 @@
     /// where it ends.
     fn scan(&mut self, bytes: &[u8]) -> usize {
         let section = self.scanner.scan(bytes);
+        let arrived = self.arrivals.take(section.length);
         if let Some(observed) = section.ended {
-            self.client_connection.observe(observed);
+            self.client_connection.observe(observed, arrived.unwrap_or_else(Instant::now));
         }
+        self.client_connection.handed.fetch_add(section.length as u64, Ordering::Relaxed);
         section.length
     }
 
@@ -103,14 +171,20 @@
         unread.advance(length);
         self.unread = unread;
         self.had_room = self.had_room.max(room) - length;
+        if self.unread.is_empty() {
+            (self.unread, self.room) = (BytesMut::new(), None);
+        }
+        self.tell_ahead();
         self.client_connection.read(length);
     }
 
     /// Keeps what the kernel gave beyond one section, from `before` on.
     fn hold_back(&mut self, into: &mut ReadBuf, before: usize) {
+        self.arrivals.came(into.filled().len() - before, Instant::now());
         let length = self.scan(&into.filled()[before..]);
         self.unread.extend_from_slice(&into.filled()[before + length..]);
         self.had_room = self.unread.len();
+        self.tell_ahead();
         into.set_filled(before + length);
     }
 }
@@ -156,27 +230,21 @@
     }
 
     /// A lingering close. Guards the end of an answer against bytes that cross it: the kernel resets a connection that
-    /// is closed over unread bytes, and the client's side drops what it had not read. What comes now is of no request.
+    /// is closed over unread bytes, and the client's side may drop what it had not read. What comes now is not read: a
+    /// request in it was read by nobody.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         if self.closing.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
             self.client_connection.closing.store(true, Ordering::Relaxed);
-            self.closing = Some(Box::pin(sleep(self.lingers)));
+            let lingered = Box::pin(sleep(self.lingers));
+            self.closing = Some(Closing { lingered, ends: Box::pin(sleep(self.lingers_over_unread)) });
         }
-        let mut piece = [0; PIECE];
-        while self.drops > 0 {
-            let mut into = ReadBuf::new(&mut piece);
-            match Pin::new(&mut self.stream).poll_read(cx, &mut into) {
-                Poll::Ready(Ok(())) if !into.filled().is_empty() => {
-                    self.drops = self.drops.saturating_sub(into.filled().len());
-                }
-                Poll::Ready(_) => return Poll::Ready(Ok(())),
-                Poll::Pending => {
-                    let over = self.closing.as_mut().is_none_or(|over| over.as_mut().poll(cx).is_ready());
-                    return if over { Poll::Ready(Ok(())) } else { Poll::Pending };
-                }
-            }
+        let ended = self.stream.poll_other_end(cx).is_ready();
+        let Line { stream, closing: Some(closing), .. } = &mut *self else { return Poll::Ready(Ok(())) };
+        let lingered = closing.lingered.as_mut().poll(cx).is_ready() && !stream.waits();
+        if ended || lingered || closing.ends.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
         }
-        Poll::Ready(Ok(()))
+        Poll::Pending
     }
 }
--- a/crates/merlinreel/src/discovery.rs
+++ b/crates/merlinreel/src/discovery.rs
@@ -6,6 +6,7 @@
 use crate::limits::Limits;
 use crate::log;
 use crate::messages::{News, Queue};
+use crate::stream::{Tallied, Untallied};
 use failure_log::FailureLog;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Bytes, Incoming};
@@ -16,6 +17,7 @@
 use merlinreel_discovery::{DiscoveryNews, MessageError, decode};
 use open_calls::{OpenCalls, Progress};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -62,7 +64,7 @@
     let stream = timeout(within, TcpStream::connect(discovery)).await;
     let stream = stream.map_err(|_| DiscoveryError::NoConnection(within))??;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = handshake(TokioIo::new(Tallied::new(stream, Arc::new(Untallied)))).await?;
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(Line { sender, task })
 }
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -53,9 +53,10 @@
     pub client_settled: Duration,
     pub client_silent: Duration,
     pub client_unended: Duration,
-    /// A connection whose limiter's side has ended is read and dropped for so long, and so many bytes, at most.
+    /// A connection whose limiter's side has ended waits so long for the client's end.
     pub client_lingers: Duration,
-    pub client_drops: usize,
+    /// Bytes read ahead of a client's request in hand, at most. Beyond a head's they have a place among the bodies.
+    pub client_ahead: usize,
     /// Attempts end so long before the client gives up, so that the answer is there in time.
     pub answer_margin: Duration,
     /// How long a watch of the server list may wait, and where an answer is wanted at once; how late it may be before another
@@ -79,6 +80,8 @@
     pub stop_first: Duration,
     pub stop_late: Duration,
     pub stop_quiet: Duration,
+    /// So long after its end requests that were read ahead may still have their answers, which then are refusals.
+    pub stop_over: Duration,
     /// By then the last job has its answer, counted from the signal: well before the process is killed.
     pub stop_end: Duration,
     /// Connections to the operators' door at once, and the time in which a call must be whole.
@@ -155,8 +158,8 @@
             // What crosses the end is there within a round attempt of some milliseconds; a client on a machine that is
             // busy may need more, and a stop must not wait long for one that never ends its side.
             client_lingers: Duration::from_millis(250),
-            // A request with the longest body, and as much again.
-            client_drops: 2 * (64 + 8) * 1024,
+            // Thousands of requests in one piece; small beside the memory for bodies, which hundreds share.
+            client_ahead: 512 * 1024,
             answer_margin: Duration::from_millis(5),
             // The agent is near and asked at no cost: a call that has fallen silent must not hide changes for long.
             watch: Duration::from_secs(1),
@@ -179,6 +182,7 @@
             stop_first: Duration::from_millis(400),
             stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
+            stop_over: Duration::from_millis(100),
             // Killed no sooner than the longest deadline, 3 s at most, and 0.7 s: a busy machine needs some of it.
             stop_end: longest.min(Duration::from_secs(3)) + Duration::from_millis(300),
             // Callers who hold one and never call are owed nothing; enough for staff and their scrapers.
--- a/crates/merlinreel/src/ops.rs
+++ b/crates/merlinreel/src/ops.rs
@@ -7,6 +7,7 @@
 use crate::decode::respond;
 use crate::limits::Limits;
 use crate::log;
+use crate::stream::{Tallied, Untallied};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1::Builder;
@@ -79,7 +80,7 @@
                 .keep_alive(false)
                 .timer(TokioTimer::new())
                 .header_read_timeout(call)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Tallied::new(stream, Arc::new(Untallied))), service);
             // A call whose body never ends is cut off, too.
             let _ = timeout(call * 2, connection).await;
         }));
--- a/crates/merlinreel/src/servers/upstream.rs
+++ b/crates/merlinreel/src/servers/upstream.rs
@@ -59,6 +59,11 @@
     fn begins(&self) -> bool {
         self.resting.swap(false, Ordering::Relaxed)
     }
+
+    /// An answer is owed.
+    fn expects_more(&self) -> bool {
+        self.bytes() > 0 && !self.resting.load(Ordering::Relaxed)
+    }
 }
 
 type Wire = Connection<TokioIo<Tallied<Sent>>, Full<Bytes>>;
