--- a/crates/merlinreel-testbed/src/process.rs
+++ b/crates/merlinreel-testbed/src/process.rs
@@ -101,6 +101,11 @@
         self.signal("-HUP");
     }
 
+    /// Nobody reads what it says from now on.
+    pub fn close_log(&mut self) {
+        drop(self.child.stderr.take());
+    }
+
     pub fn end(&mut self) -> ExitStatus {
         self.child.wait().expect("an end")
     }
--- a/crates/merlinreel/tests/sockets/gone_clients.rs
+++ b/crates/merlinreel/tests/sockets/gone_clients.rs
@@ -9,7 +9,7 @@
 use test_case::test_case;
 
 /// A server whose connections come up late: its queue holds one connection, which is taken, until that is accepted.
-fn server_with_a_full_queue() -> (TcpListener, TcpStream) {
+pub fn server_with_a_full_queue() -> (TcpListener, TcpStream) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
     socket.listen(0).expect("listens");
@@ -20,7 +20,7 @@
 
 /// Waits until a connection to `address` is on its way, its first packet refused by the full queue, other than the one
 /// from `known`; returns where it comes from. The kernel tries each again a second after its first packet.
-fn wait_for_connecting(address: SocketAddr, known: Option<&str>) -> String {
+pub fn wait_for_connecting(address: SocketAddr, known: Option<&str>) -> String {
     const SYN_SENT: &str = "02";
     let port = format!(":{:04X}", address.port());
     let from = |line: &str| {
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The program as it runs: started by its configuration, spoken to over sockets.
 
 mod broken_answers;
+mod drains;
 mod faults;
 mod gone_clients;
 mod limited_process;
--- a/crates/merlinreel/tests/sockets/stop.rs
+++ b/crates/merlinreel/tests/sockets/stop.rs
@@ -222,3 +222,66 @@
     assert_eq!(program.client().job("look", 1, 1).status(), 200);
     assert_eq!((old.seen.try_iter().count(), new.seen.try_iter().count()), (0, 1));
 }
+
+/// SIGHUP brings shorter deadlines: the process may be killed the longest of them and 0.7 s after SIGTERM. A request that
+/// arrives late in the stop, at a server that hangs, has its answer before that.
+#[test]
+fn a_stop_goes_by_the_deadlines_in_force() {
+    let server = StandIn::start(|_| React::Hang);
+    let mut config = config(&[listed("s-1", server.address, "up")]);
+    let mut program = Program::start(&config);
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        (class["promiseS"], class["hardLimitS"]) = (0.25.into(), 0.5.into());
+    }
+    program.turn(&config.to_string());
+    let text = job("pay", 7, 1, "500m");
+    let (half, rest) = text.split_at(40);
+    let mut client = program.client();
+    client.send(half);
+    // Longer than a file takes to be read again.
+    thread::sleep(Duration::from_millis(300));
+    let asked = std::time::Instant::now();
+    program.signal("-TERM");
+    thread::sleep(Duration::from_millis(850));
+    client.send(rest);
+    assert!(client.receive().is_some());
+    assert!(asked.elapsed() < Duration::from_millis(1200), "{:?}", asked.elapsed());
+    assert!(program.end().success());
+}
+
+/// Nobody reads the log any more: the limiter goes on without it.
+#[test]
+fn a_log_that_can_not_be_written_ends_nothing() {
+    let server = StandIn::start(|_| fine());
+    let mut program = Program::start(&config(&[listed("s-1", server.address, "up")]));
+    program.close_log();
+    // A body that is too long is told in the log.
+    let text = job("pay", 7, 1, "900m").replace("Content-Length: 6", "Content-Length: 65537");
+    assert_eq!(program.client().call(&text).map(|answer| answer.status()), Some(413));
+    program.turn("{}");
+    assert_eq!(program.client().job("pay", 8, 1).status(), 200);
+    program.signal("-TERM");
+    assert!(program.end().success());
+}
+
+/// Signals in series: three to stop, with new configurations before and between them, are one stop. What is in hand, at a
+/// server that hangs, has its answer before the process may be killed.
+#[test]
+fn signals_in_series_are_one_stop() {
+    let server = StandIn::start(|_| React::Hang);
+    let config = config(&[listed("s-1", server.address, "up")]);
+    let mut program = Program::start(&config);
+    let mut clients: Vec<Client> = (0..6).map(|_| program.client()).collect();
+    for (customer, client) in (0..).zip(&mut clients) {
+        client.send(&job(["look", "pay"][customer as usize % 2], customer, 1, "2500m"));
+    }
+    server.next();
+    let asked = std::time::Instant::now();
+    for signal in ["-HUP", "-TERM", "-HUP", "-TERM", "-HUP", "-TERM"] {
+        program.signal(signal);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(clients.iter_mut().all(|client| client.receive().is_some()));
+    assert!(program.end().success());
+    assert!(asked.elapsed() < Duration::from_millis(3700), "{:?}", asked.elapsed());
+}
