Drains, stops and the log: late connections leave, deadlines in force count, a lost line ends nothing

Lines at fault: Driver::step took a list without a look at attempts on their way; stop_end was filled at the start; log! was eprintln!, which panics. Change: attempts that have not begun are withdrawn from servers that drain or are gone (Desk::withdraw_from_leaving), as they are for clients that have gone; stop_end follows the classes in force; lines that can't be written are lost.

--- a/crates/merlinreel-discovery/src/table.rs
+++ b/crates/merlinreel-discovery/src/table.rs
@@ -51,6 +51,11 @@
         self.places.get(server as usize).is_some_and(Place::stands)
     }
 
+    /// Whether it is listed as up.
+    pub fn is_up(&self, server: u32) -> bool {
+        self.places.get(server as usize).is_some_and(|place| place.entry.standing == Standing::Up)
+    }
+
     /// Takes a message in, and gives it back with indices in the place of names.
     pub fn apply(&mut self, news: DiscoveryNews, restored: bool) -> ServerList {
         let mut entries = Vec::with_capacity(news.servers.len());
--- a/crates/merlinreel/src/clients/stop.rs
+++ b/crates/merlinreel/src/clients/stop.rs
@@ -6,6 +6,7 @@
 use super::Door;
 use super::connection::{ClientConnection, lock};
 use crate::backoff::Backoff;
+use crate::limits::stop_end;
 use crate::log;
 use crate::system_errors::concerns_one_connection;
 use std::future::Future;
@@ -38,7 +39,12 @@
 impl Door {
     /// When the last job has its answer, once the stop was asked for.
     pub(super) fn stops_at(&self) -> Option<Instant> {
-        self.asked.get().map(|&asked| asked + self.limits.stop_end)
+        self.asked.get().map(|&asked| self.stop_end(asked))
+    }
+
+    /// The same, for a stop that was asked for then.
+    fn stop_end(&self, asked: Instant) -> Instant {
+        asked + stop_end(&self.tuned.borrow().terms.classes)
     }
 
     /// Takes connections until the stop, serves on while they come, and returns once nobody is left. A socket that
@@ -72,7 +78,7 @@
         }
         self.closing.store(true, Ordering::Relaxed);
         // Short of the end, so that what is taken last has its answer.
-        let shuts = asked + self.limits.stop_end.saturating_sub(self.limits.stop_quiet);
+        let shuts = self.stop_end(asked).checked_sub(self.limits.stop_quiet).unwrap_or(asked);
         let late = self.limits.stop_late.min(shuts.saturating_duration_since(Instant::now()));
         tokio::select! {
             () = self.accept(&listener, &places) => {}
--- a/crates/merlinreel/src/driver.rs
+++ b/crates/merlinreel/src/driver.rs
@@ -127,7 +127,8 @@
                 News::Retune(terms) => self.retune(*terms),
                 News::Probe(answer) => round.probes.push(answer),
                 News::ServerList(server_list) => {
-                    round.server_list.push(self.desk.servers.list(server_list, false))
+                    round.server_list.push(self.desk.servers.list(server_list, false));
+                    self.desk.withdraw_from_leaving();
                 }
                 News::PeerMessage(peer_message) => round.peer_messages.push(peer_message),
             }
--- a/crates/merlinreel/src/driver/desk.rs
+++ b/crates/merlinreel/src/driver/desk.rs
@@ -80,6 +80,13 @@
         self.closed.push(job);
     }
 
+    /// Attempts that have not begun leave servers that drain or are gone. Guards the rule on drains against a connection
+    /// that comes up after the grace.
+    pub fn withdraw_from_leaving(&self) {
+        let leaving = self.attempts.iter().filter(|(_, out)| !self.servers.is_up(out.server));
+        leaving.for_each(|(&serial, out)| out.link.withdraw(serial));
+    }
+
     /// An index is free again once its job is answered and no attempt is out.
     pub fn free_if_over(&mut self, job: u32) {
         if self.held(job).is_some_and(|held| held.answer.is_none() && held.out.is_empty()) {
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -1,5 +1,6 @@
 //! All sizes, counts and times that bound the limiter's sockets: filled once at start and handed down.
 
+use merlinreel_core::Class;
 use merlinreel_settings::Terms;
 use std::time::Duration;
 use thiserror::Error;
@@ -82,8 +83,6 @@
     pub stop_quiet: Duration,
     /// So long after its end requests that were read ahead may still have their answers, which then are refusals.
     pub stop_over: Duration,
-    /// By then the last job has its answer, counted from the signal: well before the process is killed.
-    pub stop_end: Duration,
     /// Connections to the operators' door at once, and the time in which a call must be whole.
     pub ops_connections: usize,
     pub ops_call: Duration,
@@ -122,7 +121,6 @@
         let idle =
             if terms.wire.server_idle.is_zero() { Duration::from_secs(15) } else { terms.wire.server_idle };
         let connect = terms.wire.connect_within;
-        let longest = terms.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         Ok(Limits {
             // A quarter is kept for who comes and goes, and to tell newcomers that it is busy.
             clients: clients_most - clients_most / 4,
@@ -183,8 +181,6 @@
             stop_late: Duration::from_secs(1),
             stop_quiet: Duration::from_millis(200),
             stop_over: Duration::from_millis(100),
-            // Killed no sooner than the longest deadline, 3 s at most, and 0.7 s: a busy machine needs some of it.
-            stop_end: longest.min(Duration::from_secs(3)) + Duration::from_millis(300),
             // Callers who hold one and never call are owed nothing; enough for staff and their scrapers.
             ops_connections: 16,
             // Answers are owed within 1 s: a whole call comes within half of that from a caller who means it.
@@ -193,6 +189,13 @@
     }
 }
 
+/// How long after the signal of a stop the last request has its answer, by the classes in force: well before the process
+/// is killed, which is no sooner than the longest deadline, 3 s at most, and 0.7 s. A busy machine needs some of that.
+pub fn stop_end(classes: &[Class]) -> Duration {
+    let longest = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    longest.min(Duration::from_secs(3)) + Duration::from_millis(300)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/merlinreel/src/log.rs
+++ b/crates/merlinreel/src/log.rs
@@ -1,5 +1,7 @@
-//! The log: lines on standard error through one macro, so many a second and no more.
+//! The log: lines on standard error through one macro, so many a second and no more. A line that can't be written is lost.
 
+use std::fmt::Arguments;
+use std::io::{Write, stderr};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -48,12 +50,20 @@
     gauge.admits(Instant::now())
 }
 
+/// Writes a line; used by the macro. Guards the limiter against its log: a reader that has gone, or a full disk, must end
+/// nothing, as `eprintln!` would.
+pub fn write(line: Arguments) {
+    let _ = writeln!(stderr(), "merlinreel: {line}");
+}
+
 #[macro_export]
 macro_rules! log {
     ($($what:tt)*) => {
         match $crate::log::admits() {
-            Some(0) => eprintln!("merlinreel: {}", format_args!($($what)*)),
-            Some(more) => eprintln!("merlinreel: {} ({more} lines held back)", format_args!($($what)*)),
+            Some(0) => $crate::log::write(format_args!($($what)*)),
+            Some(more) => {
+                $crate::log::write(format_args!("{} ({more} lines held back)", format_args!($($what)*)))
+            }
             None => {}
         }
     };
--- a/crates/merlinreel/src/main.rs
+++ b/crates/merlinreel/src/main.rs
@@ -108,7 +108,7 @@
     match begin() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("merlinreel: {error}");
+            merlinreel::log::write(format_args!("{error}"));
             ExitCode::FAILURE
         }
     }
--- a/crates/merlinreel/src/servers.rs
+++ b/crates/merlinreel/src/servers.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Whether it is listed as up.
+    pub fn is_up(&self, server: u32) -> bool {
+        self.table.is_up(server)
+    }
+
     /// Nothing is kept of this server any more; its index may be another's.
     pub fn forget(&mut self, server: u32) {
         self.close_idle(server);
