Campaign: stops by signals in series with the earliest kill, reloads, crowds, pipelining and leaving clients

Change: the drawn script has Terminate (SIGTERM one to three times, SIGHUP between, SIGKILL at the longest deadline and 0.7 s), Reload and Crowd; clients (asking.rs) use open connections until they end, send four requests at once, or leave; new connections end 0.3 s after SIGTERM. The checker judges requests that a kill finds, attempts for who has gone, the time told to servers, and holds answers to 1 s after their time (2 s before) and drains to 2 s (3 s before), each with planted violations.

--- a/crates/merlinreel-testbed/src/checker.rs
+++ b/crates/merlinreel-testbed/src/checker.rs
@@ -11,11 +11,19 @@
 use std::fmt;
 use std::time::Duration;
 
+/// What comes so long after SIGTERM has to have its answer before SIGKILL, which follows within that time here.
+const LATE_IN_A_STOP: Duration = Duration::from_millis(700);
+const KILL_FOLLOWS: Duration = Duration::from_secs(4);
+
 /// How far a record may be from the rules' peer message: what the machine under the test may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// An answer may be so late.
     pub late: Duration,
+    /// Attempts may still begin so long after their client has gone, and servers be told so much more time than it has
+    /// left: what the page grants and the machine's share.
+    pub gone: Duration,
+    pub told: Duration,
     /// Attempts may still begin so long after word of a drain: the deployment's grace and the machine's share.
     pub grace: Duration,
     /// A worker may see so late that a limiter, or the way, ended a connection.
@@ -29,8 +37,10 @@
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            late: Duration::from_secs(2),
-            grace: Duration::from_secs(3),
+            late: Duration::from_secs(1),
+            gone: Duration::from_millis(400),
+            told: Duration::from_millis(350),
+            grace: Duration::from_secs(2),
             seen_late: Duration::from_millis(300),
             unanswered_one_in: 200,
             quota: None,
@@ -46,8 +56,14 @@
         unanswered: usize,
         of: usize,
     },
+    /// It came over 0.7 s after SIGTERM, and SIGKILL found it unanswered.
+    LostAtKill(String),
     AnsweredTwice(String),
     Late(String),
+    /// An attempt began after its client had gone.
+    ForGone(String),
+    /// A server was told more time than the client had left.
+    ToldTooMuch(String),
     /// A single-use job went out again, or was refused, after an attempt that may have run.
     EffectTwice(String),
     /// Two attempts of one job were out at once.
@@ -68,6 +84,9 @@
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Broken::Lost { unanswered, of } => write!(out, "no job lost: {unanswered} of {of} had no answer"),
+            Broken::LostAtKill(id) => write!(out, "no job lost: job {id} was unanswered at the kill"),
+            Broken::ForGone(id) => write!(out, "no attempt for who has gone: job {id}"),
+            Broken::ToldTooMuch(id) => write!(out, "time told to servers: more than job {id} had left"),
             Broken::AnsweredTwice(id) => write!(out, "one final answer: job {id} had two"),
             Broken::Late(id) => write!(out, "an answer in time: job {id} had it later"),
             Broken::EffectTwice(id) => {
@@ -98,9 +117,15 @@
                 broken.push(Broken::Late(id.clone()));
             }
             Some(_) => {}
+            None if job.gone.is_some() => {}
+            None if job.gave_up && away.late_at_kill(job.limiter, job.asked, due) => {
+                broken.push(Broken::LostAtKill(id.clone()));
+            }
             None if away.killed(job.limiter, job.asked, due) => {}
             // A client gives up on a process that stands still: nobody is there to be answered.
             None if job.gave_up && away.stalled(job.limiter, job.asked, due) > Duration::ZERO => {}
+            // New connections may be shut unread where a crowd holds all places.
+            None if job.fresh && away.crowded(job.limiter, job.asked, due) => {}
             None if job.gave_up => unanswered += 1,
             // Still waiting as the record ended.
             None => {}
@@ -112,6 +137,15 @@
         };
         broken.extend(job.two_out(hidden).then(|| Broken::TwoAttemptsOut(id.clone())));
         for attempt in &job.attempts {
+            let undisturbed = away.stalled(job.limiter, job.asked, attempt.came).is_zero()
+                && !away.cut(job.limiter, attempt.worker, job.asked, attempt.came);
+            if undisturbed && job.gone.is_some_and(|gone| attempt.came > gone + bounds.gone) {
+                broken.push(Broken::ForGone(id.clone()));
+            }
+            let left = (job.asked + job.patience).saturating_sub(attempt.came);
+            if undisturbed && attempt.told.is_some_and(|told| told > left + bounds.told) {
+                broken.push(Broken::ToldTooMuch(id.clone()));
+            }
             if let Some(told) = away.told.get(&(job.limiter, attempt.worker))
                 && attempt.came > *told + bounds.grace + away.stalled(job.limiter, *told, attempt.came)
             {
@@ -150,8 +184,12 @@
 }
 
 /// What is known of the limiters' processes.
+#[derive(Default)]
 struct Away {
     killed: Vec<(usize, Duration)>,
+    terminated: Vec<(usize, Duration)>,
+    /// From when, until when.
+    crowds: Vec<(usize, Duration, Duration)>,
     /// From when, until when.
     stalls: Vec<(usize, Duration, Duration)>,
     told: BTreeMap<(usize, usize), Duration>,
@@ -161,11 +199,16 @@
 
 impl Away {
     fn of(entries: &[Entry]) -> Away {
-        let mut away =
-            Away { killed: Vec::new(), stalls: Vec::new(), told: BTreeMap::new(), cuts: Vec::new() };
+        let mut away = Away::default();
         for Entry { at, what } in entries {
             match what {
                 What::Killed { limiter } => away.killed.push((*limiter, *at)),
+                What::Terminated { limiter } => away.terminated.push((*limiter, *at)),
+                What::Crowded { limiter } => away.crowds.push((*limiter, *at, Duration::MAX)),
+                What::Dispersed { limiter } => {
+                    let open = away.crowds.iter_mut().filter(|crowd| crowd.0 == *limiter);
+                    open.for_each(|crowd| crowd.2 = crowd.2.min(*at));
+                }
                 What::Stopped { limiter } => away.stalls.push((*limiter, *at, Duration::MAX)),
                 What::Woken { limiter } => {
                     let open =
@@ -193,6 +236,20 @@
         self.cuts.iter().any(|&(which, begun, ended)| which == way && begun <= to && ended >= from)
     }
 
+    fn crowded(&self, limiter: usize, from: Duration, to: Duration) -> bool {
+        self.crowds.iter().any(|&(who, begun, ended)| who == limiter && begun <= to && ended >= from)
+    }
+
+    /// Whether a stop's kill came within that time, and what was asked from then on came late in the stop.
+    fn late_at_kill(&self, limiter: usize, from: Duration, to: Duration) -> bool {
+        let kills = self.killed.iter().filter(|&&(who, at)| who == limiter && at >= from && at <= to);
+        kills.copied().any(|(_, killed)| {
+            let asked = self.terminated.iter().filter(|&&(who, at)| who == limiter && at <= from);
+            let last = asked.map(|&(_, at)| at).max();
+            last.is_some_and(|at| from > at + LATE_IN_A_STOP && killed < at + KILL_FOLLOWS)
+        })
+    }
+
     fn killed(&self, limiter: usize, from: Duration, to: Duration) -> bool {
         self.killed.iter().any(|&(who, at)| who == limiter && at >= from && at <= to)
     }
--- a/crates/merlinreel-testbed/src/checker/jobs.rs
+++ b/crates/merlinreel-testbed/src/checker/jobs.rs
@@ -8,6 +8,8 @@
 pub struct Attempt {
     pub worker: usize,
     pub came: Duration,
+    /// How long its limiter said that it would wait.
+    pub told: Option<Duration>,
     pub over: Option<Duration>,
     pub never_ran: bool,
 }
@@ -21,6 +23,10 @@
     pub patience: Duration,
     pub answers: Vec<(Duration, u16)>,
     pub gave_up: bool,
+    /// It had no answer, and was the first on its connection.
+    pub fresh: bool,
+    /// When its client closed the connection on it.
+    pub gone: Option<Duration>,
     pub attempts: Vec<Attempt>,
 }
 
@@ -62,6 +68,8 @@
                     patience: *patience,
                     answers: Vec::new(),
                     gave_up: false,
+                    fresh: false,
+                    gone: None,
                     attempts: Vec::new(),
                 };
                 jobs.insert(id.clone(), job);
@@ -69,11 +77,15 @@
             What::Answered { id, status, .. } => {
                 jobs.get_mut(id).into_iter().for_each(|job| job.answers.push((*at, *status)));
             }
-            What::Unanswered { id } => jobs.get_mut(id).into_iter().for_each(|job| job.gave_up = true),
-            What::Came { id, worker, attempt } => {
+            What::Unanswered { id, fresh } => {
+                jobs.get_mut(id).into_iter().for_each(|job| (job.gave_up, job.fresh) = (true, *fresh));
+            }
+            What::Gone { id } => jobs.get_mut(id).into_iter().for_each(|job| job.gone = Some(*at)),
+            What::Came { id, worker, attempt, told } => {
                 if let Some(job) = jobs.get_mut(id) {
                     attempts.insert(*attempt, (id.clone(), job.attempts.len()));
-                    job.attempts.push(Attempt { worker: *worker, came: *at, over: None, never_ran: false });
+                    let (worker, told) = (*worker, *told);
+                    job.attempts.push(Attempt { worker, came: *at, told, over: None, never_ran: false });
                 }
             }
             What::TurnedAway { attempt } | What::Ran { attempt } | What::Left { attempt } => {
--- a/crates/merlinreel-testbed/src/checker/tests.rs
+++ b/crates/merlinreel-testbed/src/checker/tests.rs
@@ -10,7 +10,15 @@
 }
 
 fn came(worker: usize, attempt: u64) -> What {
-    What::Came { id: "a".into(), worker, attempt }
+    What::Came { id: "a".into(), worker, attempt, told: None }
+}
+
+fn told(milliseconds: u64) -> What {
+    What::Came { id: "a".into(), worker: 0, attempt: 1, told: Some(ms(milliseconds)) }
+}
+
+fn unanswered(fresh: bool) -> What {
+    What::Unanswered { id: "a".into(), fresh }
 }
 
 fn answered(status: u16) -> What {
@@ -27,8 +35,16 @@
 
 /// Planted violations: the checker finds each, and nothing in a course that holds.
 #[test_case(&[(0, asked("pay")), (1, came(0, 1)), (2, What::Ran { attempt: 1 }), (3, answered(200))] => Vec::<String>::new() ; "as it should be")]
-#[test_case(&[(0, asked("pay")), (900, What::Unanswered { id: "a".into() })] => vec!["no job lost"] ; "lost")]
-#[test_case(&[(0, asked("pay")), (5, What::Killed { limiter: 0 }), (9, What::Unanswered { id: "a".into() })] => Vec::<String>::new() ; "its process was killed")]
+#[test_case(&[(0, asked("pay")), (900, unanswered(false))] => vec!["no job lost"] ; "lost")]
+#[test_case(&[(0, asked("pay")), (5, What::Killed { limiter: 0 }), (9, unanswered(false))] => Vec::<String>::new() ; "its process was killed")]
+#[test_case(&[(0, What::Crowded { limiter: 0 }), (1, asked("pay")), (9, unanswered(true))] => Vec::<String>::new() ; "a new connection shut in a crowd")]
+#[test_case(&[(0, What::Crowded { limiter: 0 }), (1, asked("pay")), (9, unanswered(false))] => vec!["no job lost"] ; "a kept one shut in a crowd")]
+#[test_case(&[(0, What::Terminated { limiter: 0 }), (800, asked("pay")), (1500, What::Killed { limiter: 0 }), (1501, unanswered(false))] => vec!["no job lost"] ; "late in a stop, found by the kill")]
+#[test_case(&[(0, What::Terminated { limiter: 0 }), (600, asked("pay")), (1500, What::Killed { limiter: 0 }), (1501, unanswered(false))] => Vec::<String>::new() ; "early in a stop, found by the kill")]
+#[test_case(&[(0, asked("pay")), (5, What::Gone { id: "a".into() }), (600, came(0, 1)), (601, What::Left { attempt: 1 })] => vec!["no attempt for who has gone"] ; "begun for who has gone")]
+#[test_case(&[(0, asked("pay")), (3, came(0, 1)), (5, What::Gone { id: "a".into() }), (60, What::Left { attempt: 1 })] => Vec::<String>::new() ; "begun before its client went")]
+#[test_case(&[(0, asked("pay")), (700, told(1000)), (701, What::Ran { attempt: 1 }), (702, answered(200))] => vec!["time told to servers"] ; "told the whole time late")]
+#[test_case(&[(0, asked("pay")), (700, told(320)), (701, What::Ran { attempt: 1 }), (702, answered(200))] => Vec::<String>::new() ; "told what is left")]
 #[test_case(&[(0, asked("look")), (3, answered(200)), (4, answered(429))] => vec!["one final answer"] ; "two answers")]
 #[test_case(&[(0, asked("look")), (4000, answered(200))] => vec!["an answer in time"] ; "late")]
 #[test_case(&[(0, asked("look")), (10, What::Stopped { limiter: 0 }), (3000, What::Woken { limiter: 0 }), (4000, answered(502))] => Vec::<String>::new() ; "its process stood still")]
@@ -54,7 +70,7 @@
         let (id, at) = (format!("j{n}"), n * apart);
         let patience = ms(1000);
         course.push((at, What::Asked { id: id.clone(), class: "look", customer: 7, limiter: 0, patience }));
-        course.push((at + 1, What::Came { id: id.clone(), worker: 0, attempt: n }));
+        course.push((at + 1, What::Came { id: id.clone(), worker: 0, attempt: n, told: None }));
         course.push((at + 2, What::Ran { attempt: n }));
         course.push((at + 3, What::Answered { id, status: 200, again: false }));
     }
--- a/crates/merlinreel-testbed/src/client.rs
+++ b/crates/merlinreel-testbed/src/client.rs
@@ -1,12 +1,10 @@
-//! Clients: one that asks once, and one that keeps asking and records what it saw.
+//! A client's connection to a limiter, and requests as clients write them.
 
 use crate::PATIENCE;
 use crate::http::{Message, ReadError, read};
-use crate::record::{Record, What};
 use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::thread;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 static TRIES: AtomicU32 = AtomicU32::new(0x9b1f_03aa);
@@ -25,6 +23,11 @@
         Ok(Client { from: BufReader::new(to.try_clone()?), to })
     }
 
+    /// Waits so long at most for each further read.
+    pub fn wait_at_most(&self, span: Duration) -> io::Result<()> {
+        self.to.set_read_timeout(Some(span))
+    }
+
     pub fn send(&mut self, text: &str) {
         // Where the other side has closed, the missing answer tells.
         let _ = self.to.write_all(text.as_bytes());
@@ -77,42 +80,3 @@
         body.len()
     )
 }
-
-/// Keeps asking at one limiter until `stop`, a job of each class by turns, on a connection that it keeps as long as
-/// it stays open; comes again after each answer, a pause of `beat` between, and dials anew where the connection ended.
-/// The time that it gives each job is `patience`, and it waits `longer` for an answer that is late.
-pub fn keep_asking(
-    limiter: usize,
-    address: SocketAddr,
-    customer: u32,
-    record: &Record,
-    stop: &AtomicBool,
-    (beat, patience, longer): (Duration, Duration, Duration),
-) {
-    let mut open: Option<Client> = None;
-    let mut turn = customer as usize;
-    while !stop.load(Ordering::Relaxed) {
-        thread::sleep(beat);
-        let Some(mut client) = open.take().or_else(|| Client::connect(address).ok()) else { continue };
-        let _ = client.to.set_read_timeout(Some(patience + longer));
-        turn += 1;
-        let class = ["look", "put", "pay"][turn % 3];
-        let text = job(class, customer, 1, &format!("{}m", patience.as_millis()));
-        let id = text.split("X-Txn: ").nth(1).and_then(|rest| rest.split("\r\n").next()).unwrap_or("");
-        let id = id.to_owned();
-        record.tell(What::Asked { id: id.clone(), class, customer, limiter, patience });
-        match client.call(&text) {
-            Some(answer) => {
-                record.tell(What::Answered {
-                    id,
-                    status: answer.status(),
-                    again: answer.header("retry-after").is_some(),
-                });
-                if answer.header("connection") != Some("close") {
-                    open = Some(client);
-                }
-            }
-            None => record.tell(What::Unanswered { id }),
-        }
-    }
-}
--- a/crates/merlinreel-testbed/src/field.rs
+++ b/crates/merlinreel-testbed/src/field.rs
@@ -1,8 +1,8 @@
 //! Several limiters at work: workers, an agent each, clients, and a link on each way.
 
 use crate::link::{TcpLink, UdpLink, Weather};
-use crate::{Agent, Deed, Entry, Program, Record, Script, Standing, What, Worker, WorkerKind};
-use crate::{config, free_address, keep_asking, listed};
+use crate::{Agent, Asking, Client, Deed, Entry, Manner, Program, Record, Script, Standing, What, Worker};
+use crate::{WorkerKind, config, free_address, listed};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,8 +22,21 @@
     _messages: Vec<UdpLink>,
     configs: Vec<Value>,
     programs: Vec<Option<Program>>,
+    /// Whether the front sends new connections to a limiter, by its number.
+    admits: Vec<Arc<AtomicBool>>,
+    crowds: Vec<Vec<Client>>,
+    /// When limiters that were asked to stop are killed, by their numbers.
+    kills: Vec<Option<Instant>>,
 }
 
+/// The deadline of all classes, and the time that clients give a request.
+const DEADLINE: Duration = Duration::from_millis(1500);
+/// New connections still come for so long after SIGTERM, and SIGKILL follows the longest deadline and so much.
+const FRONT_LAGS: Duration = Duration::from_millis(300);
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// More than a limiter has places for.
+const CROWD: usize = 160;
+
 impl Field {
     /// Starts so many of each, and waits until all serve.
     pub fn start(seed: u64, limiters: usize, workers: usize) -> Field {
@@ -61,13 +74,78 @@
                 config["peer_listen"] = places[i].to_string().into();
                 config["peers"] = peers[i].iter().map(ToString::to_string).collect();
                 (config["settings"]["balancers"], config["settings"]["rank"]) = (limiters.into(), i.into());
+                for class in config["settings"]["classes"].as_array_mut().into_iter().flatten() {
+                    class["hardLimitS"] = DEADLINE.as_secs_f64().into();
+                    class["promiseS"] = (DEADLINE.as_secs_f64() / 2.0).into();
+                }
                 let plan = &mut config["settings"]["packages"][0];
                 (plan["unitsPerS"], plan["mostAtOnce"]) = (1000.into(), 1000.into());
                 config
             })
             .collect();
         let programs = configs.iter().map(|config| Some(Program::start(config))).collect();
-        Field { record, workers, agents, ways, _messages: peer_messages, configs, programs }
+        Field {
+            record,
+            workers,
+            agents,
+            ways,
+            _messages: peer_messages,
+            configs,
+            programs,
+            admits: (0..limiters).map(|_| Arc::new(AtomicBool::new(true))).collect(),
+            crowds: (0..limiters).map(|_| Vec::new()).collect(),
+            kills: vec![None; limiters],
+        }
+    }
+
+    fn address(&self, i: usize) -> SocketAddr {
+        let address = self.configs[i]["listen"].as_str().and_then(|text| text.parse().ok());
+        address.expect("an address")
+    }
+
+    /// Signals in series; what follows from them in time is done by `wait`.
+    fn terminate(&mut self, i: usize, times: u32) {
+        self.record.tell(What::Terminated { limiter: i });
+        let asked = Instant::now();
+        self.kills[i] = Some(asked + DEADLINE + KILL_AFTER);
+        let admits = self.admits[i].clone();
+        thread::spawn(move || {
+            thread::sleep(FRONT_LAGS);
+            admits.store(false, Ordering::Relaxed);
+        });
+        for time in 0..times {
+            if time > 0 {
+                thread::sleep(Duration::from_millis(20));
+                self.signal(i, "-HUP");
+            }
+            self.signal(i, "-TERM");
+        }
+    }
+
+    /// Waits until then, and kills whoever is due meanwhile.
+    fn wait(&mut self, until: Instant) {
+        loop {
+            let due = (0..self.kills.len()).filter_map(|i| Some((self.kills[i]?, i))).min();
+            let Some((at, i)) = due.filter(|(at, _)| *at <= until) else { break };
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            self.kills[i] = None;
+            if self.programs[i].as_mut().is_some_and(Program::kill_if_running) {
+                self.record.tell(What::Killed { limiter: i });
+            }
+        }
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
+    /// Clients of which one in two sends half a request and the others nothing.
+    fn crowd(&mut self, i: usize) {
+        self.record.tell(What::Crowded { limiter: i });
+        let address = self.address(i);
+        let come = |n: usize| {
+            let mut client = Client::connect(address).ok()?;
+            client.send(if n.is_multiple_of(2) { "GET /look?key=7 HTTP/1.1\r\nHost:" } else { "" });
+            Some(client)
+        };
+        self.crowds[i] = (0..CROWD).map_while(come).collect();
     }
 
     fn signal(&self, i: usize, name: &str) {
@@ -90,7 +168,11 @@
                 // What was on its way as it died is its death's doing, too.
                 self.record.tell(What::Killed { limiter: i });
             }
-            Deed::Start(i) => self.programs[i] = Some(Program::start(&self.configs[i])),
+            Deed::Start(i) => {
+                self.programs[i] = None;
+                self.programs[i] = Some(Program::start(&self.configs[i]));
+                self.admits[i].store(true, Ordering::Relaxed);
+            }
             Deed::Stop(i) => {
                 self.record.tell(What::Stopped { limiter: i });
                 self.signal(i, "-STOP");
@@ -115,6 +197,20 @@
                 self.record.tell(What::Healed { limiter: i, worker: j });
             }
             Deed::Break(i, j) => self.ways[i][j].break_all(),
+            Deed::Terminate(i, times) => self.terminate(i, times),
+            Deed::Reload(i) => {
+                if let Some(program) = &self.programs[i]
+                    && self.kills[i].is_none()
+                {
+                    program.turn("{\"settings\":");
+                    program.turn(&self.configs[i].to_string());
+                }
+            }
+            Deed::Crowd(i) => self.crowd(i),
+            Deed::Disperse(i) => {
+                self.crowds[i].clear();
+                self.record.tell(What::Dispersed { limiter: i });
+            }
             Deed::Silence(i) => self.agents[i].silence(true),
             Deed::Speak(i) => self.agents[i].silence(false),
         }
@@ -127,19 +223,30 @@
         let clients: Vec<_> = (0..limiters * 3)
             .map(|n| {
                 let (record, stop) = (self.record.clone(), stop.clone());
-                let address =
-                    self.configs[n % limiters]["listen"].as_str().and_then(|text| text.parse().ok());
-                let address: SocketAddr = address.expect("an address");
-                let times = (Duration::from_millis(15), Duration::from_millis(1500), Duration::from_secs(3));
-                thread::spawn(move || keep_asking(n % limiters, address, n as u32, &record, &stop, times))
+                let (limiter, admits) = (n % limiters, self.admits[n % limiters].clone());
+                let manner = match n / limiters {
+                    0 => Manner::OneByOne,
+                    1 => Manner::Pipelined(4),
+                    _ => Manner::Leaves(Duration::from_millis(3 * n as u64)),
+                };
+                let asking = Asking {
+                    limiter,
+                    address: self.address(limiter),
+                    customer: n as u32,
+                    manner,
+                    beat: Duration::from_millis(15),
+                    patience: DEADLINE,
+                    longer: Duration::from_secs(3),
+                };
+                thread::spawn(move || asking.keep_on(&record, &stop, &admits))
             })
             .collect();
         let begun = Instant::now();
         for (at, deed) in &script.deeds {
-            thread::sleep(at.saturating_sub(begun.elapsed()));
+            self.wait(begun + *at);
             self.befall(*deed);
         }
-        thread::sleep(span.saturating_sub(begun.elapsed()));
+        self.wait(begun + span);
         stop.store(true, Ordering::Relaxed);
         clients.into_iter().for_each(|client| client.join().expect("a client"));
         self.record.entries()
--- a/crates/merlinreel-testbed/src/lib.rs
+++ b/crates/merlinreel-testbed/src/lib.rs
@@ -8,6 +8,7 @@
 //! turns on how quick the machine is.
 
 mod agent;
+mod asking;
 mod checker;
 mod client;
 mod config;
@@ -22,8 +23,9 @@
 mod worker;
 
 pub use agent::{Agent, Standing};
+pub use asking::{Asking, Manner};
 pub use checker::{Bounds, Broken, check};
-pub use client::{Client, job, keep_asking};
+pub use client::{Client, job};
 pub use config::{config, free_address, listed, server_list};
 pub use field::Field;
 pub use http::{Message, ReadError};
--- a/crates/merlinreel-testbed/src/process.rs
+++ b/crates/merlinreel-testbed/src/process.rs
@@ -95,6 +95,13 @@
         assert!(sent.expect("the signal is sent").success());
     }
 
+    /// Kills it if it still runs; whether it did.
+    pub fn kill_if_running(&mut self) -> bool {
+        let runs = self.child.try_wait().is_ok_and(|ended| ended.is_none());
+        let _ = self.child.kill();
+        runs
+    }
+
     /// Puts another configuration in the file's place and has it read.
     pub fn turn(&self, config: &str) {
         std::fs::write(&self.file, config).expect("the file is written");
--- a/crates/merlinreel-testbed/src/record.rs
+++ b/crates/merlinreel-testbed/src/record.rs
@@ -25,12 +25,20 @@
     /// The connection ended, or the client's time and more was over, with no whole answer.
     Unanswered {
         id: JobId,
+        /// It was the first on its connection.
+        fresh: bool,
+    },
+    /// Its client closed the connection with the request in hand.
+    Gone {
+        id: JobId,
     },
     /// An attempt's last byte was there at a worker.
     Came {
         id: JobId,
         worker: usize,
         attempt: u64,
+        /// How long the limiter says that it will wait.
+        told: Option<Duration>,
     },
     /// It was turned away: it never runs.
     TurnedAway {
@@ -62,6 +70,17 @@
     Killed {
         limiter: usize,
     },
+    /// It was asked to stop, and is killed later where it has not ended by then.
+    Terminated {
+        limiter: usize,
+    },
+    /// Clients that never ask fill its places, from here on or until the next of its kind.
+    Crowded {
+        limiter: usize,
+    },
+    Dispersed {
+        limiter: usize,
+    },
     Stopped {
         limiter: usize,
     },
--- a/crates/merlinreel-testbed/src/script.rs
+++ b/crates/merlinreel-testbed/src/script.rs
@@ -4,6 +4,9 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
+/// A process that was asked to stop is started again so long after: it was killed before, where it had to be.
+const STOP_TAKES: Duration = Duration::from_millis(2500);
+
 /// One thing that is done to the processes or to the ways between them. Limiters and workers go by their numbers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deed {
@@ -22,6 +25,13 @@
     Break(usize, usize),
     Silence(usize),
     Speak(usize),
+    /// SIGTERM so many times, 20 ms apart, with SIGHUP between; then SIGKILL as early as the protocol allows.
+    Terminate(usize, u32),
+    /// A configuration that can't be read, and then the same as before, each with SIGHUP.
+    Reload(usize),
+    /// Clients that never ask fill a limiter's places, and go.
+    Crowd(usize),
+    Disperse(usize),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,7 +51,7 @@
             let ends = begins + span.mul_f64(chance.random_range(0.1..0.3));
             let limiter = chance.random_range(0..limiters);
             let worker = if workers > 1 { chance.random_range(1..workers) } else { 0 };
-            let (first, last) = match chance.random_range(0..8) {
+            let (first, last) = match chance.random_range(0..12) {
                 0 | 1 if begins >= away[limiter] => {
                     away[limiter] = ends;
                     let killed = chance.random_range(0..2) == 0;
@@ -56,6 +66,17 @@
                 4 => (Deed::CutBack(limiter, worker), Deed::Heal(limiter, worker)),
                 5 => (Deed::Silence(limiter), Deed::Speak(limiter)),
                 6 if workers > 3 => (Deed::Drain(workers - 1), Deed::Break(limiter, worker)),
+                8 | 9 if begins >= away[limiter] => {
+                    let restart = begins + STOP_TAKES;
+                    away[limiter] = restart;
+                    deeds.extend([
+                        (begins, Deed::Terminate(limiter, chance.random_range(1..4))),
+                        (restart, Deed::Start(limiter)),
+                    ]);
+                    continue;
+                }
+                10 => (Deed::Reload(limiter), Deed::Reload(limiter)),
+                11 => (Deed::Crowd(limiter), Deed::Disperse(limiter)),
                 _ => (Deed::Break(limiter, worker), Deed::Break(limiter, worker)),
             };
             deeds.extend([(begins, first), (ends, last)]);
@@ -78,13 +99,17 @@
             assert_eq!(script, Script::drawn(seed, 6, 3, 4, span));
             let count =
                 |wanted: fn(&Deed) -> bool| script.deeds.iter().filter(|(_, deed)| wanted(deed)).count();
-            assert_eq!(count(|d| matches!(d, Deed::Kill(_))), count(|d| matches!(d, Deed::Start(_))));
+            let ends = |deed: &Deed| matches!(deed, Deed::Kill(_) | Deed::Terminate(..));
+            assert_eq!(count(ends), count(|deed| matches!(deed, Deed::Start(_))));
+            assert_eq!(count(|d| matches!(d, Deed::Crowd(_))), count(|d| matches!(d, Deed::Disperse(_))));
             assert_eq!(count(|d| matches!(d, Deed::Stop(_))), count(|d| matches!(d, Deed::Wake(_))));
             assert!(script.deeds.iter().all(|(at, _)| *at <= span));
             let mut dead = [false; 3];
             for (_, deed) in &script.deeds {
                 match *deed {
-                    Deed::Kill(i) | Deed::Stop(i) => assert!(!std::mem::replace(&mut dead[i], true)),
+                    Deed::Kill(i) | Deed::Terminate(i, _) | Deed::Stop(i) => {
+                        assert!(!std::mem::replace(&mut dead[i], true))
+                    }
                     Deed::Start(i) | Deed::Wake(i) => assert!(std::mem::replace(&mut dead[i], false)),
                     _ => {}
                 }
--- a/crates/merlinreel-testbed/src/worker.rs
+++ b/crates/merlinreel-testbed/src/worker.rs
@@ -96,13 +96,19 @@
     }
 }
 
+/// How long the limiter says that it will wait.
+fn told(message: &Message) -> Option<Duration> {
+    let milliseconds = message.header("x-remaining")?.strip_suffix('m')?.parse().ok()?;
+    Some(Duration::from_millis(milliseconds))
+}
+
 impl State {
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut from = BufReader::new(stream.try_clone()?);
         while let Some(message) = read(&mut from, 0)? {
             match message.header("x-txn").map(str::to_owned) {
-                Some(id) => self.job(&id, &mut stream)?,
+                Some(id) => self.job(&id, told(&message), &mut stream)?,
                 None => self.probe(&message, &mut stream)?,
             }
             stream.set_read_timeout(None)?;
@@ -115,9 +121,9 @@
         write!(stream, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n")
     }
 
-    fn job(&self, id: &str, stream: &mut TcpStream) -> io::Result<()> {
+    fn job(&self, id: &str, told: Option<Duration>, stream: &mut TcpStream) -> io::Result<()> {
         let attempt = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
-        self.record.tell(What::Came { id: id.to_owned(), worker: self.number, attempt });
+        self.record.tell(What::Came { id: id.to_owned(), worker: self.number, attempt, told });
         if self.draining.load(Ordering::Relaxed) || self.waiting() >= self.kind.cores + self.kind.queue {
             // Told before it is written: what follows the answer must find it in the record.
             self.record.tell(What::TurnedAway { attempt });
--- a/crates/merlinreel/tests/sockets/faults.rs
+++ b/crates/merlinreel/tests/sockets/faults.rs
@@ -8,12 +8,16 @@
 const LIMITERS: usize = 3;
 const WORKERS: usize = 4;
 
-/// Whatever is drawn, the rules hold, and most jobs are served all the same: limiters are killed, stopped and started
-/// again, workers pause and drain, ways are cut on one side or both, connections break, agents are silent, a fifth of the
-/// peer messages is lost.
+/// Whatever is drawn, the rules hold, and most jobs are served all the same: limiters are killed, asked to stop by signals in
+/// series and killed as early as may be, stand still and start again, read new configurations; workers pause and drain, ways
+/// are cut on one side or both, connections break, agents are silent, crowds come, clients send four requests at once or
+/// leave, a fifth of the peer messages is lost.
 #[test_case(1)]
 #[test_case(2)]
 #[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
 fn the_rules_hold_whatever_befalls(seed: u64) {
     let span = Duration::from_secs(8);
     let mut field = Field::start(seed, LIMITERS, WORKERS);
