--- a/crates/merlinreel-core/src/decide/tests/cold_servers.rs
+++ b/crates/merlinreel-core/src/decide/tests/cold_servers.rs
@@ -238,6 +238,11 @@
 
 /// A burst at every limiter as one server starts: together they never send it, in any span of the settings' time to fall,
 /// what would fell it; and they do use it.
+#[test_case(1, Comes::New ; "one, a new server")]
+#[test_case(1, Comes::Back ; "one, one that is back")]
+#[test_case(2, Comes::Back ; "two, one that is back")]
+#[test_case(4, Comes::New ; "four, a new server")]
+#[test_case(4, Comes::Back ; "four, one that is back")]
 #[test_case(24, Comes::New ; "twenty four, a new server")]
 #[test_case(24, Comes::Back ; "twenty four, one that is back")]
 #[test_case(20, Comes::New ; "twenty, a new server")]
--- a/crates/merlinreel-core/src/decide/tests/requests.rs
+++ b/crates/merlinreel-core/src/decide/tests/requests.rs
@@ -214,6 +214,24 @@
     notes.lines.join(", ")
 }
 
+/// A limiter that has seen no answer yet sends what has little time left, and learns; one whose servers take longer refuses.
+#[test_case(None, 0.1 => "send 0 to 0" ; "nothing seen yet")]
+#[test_case(Some(0.02), 0.1 => "send 0 to 0" ; "quick answers seen")]
+#[test_case(Some(0.2), 0.1 => "refuse 0 2.5" ; "slow answers seen")]
+fn little_time_left(seen: Option<f64>, left: f64) -> String {
+    let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
+    for answer in seen.iter().cycle().take(if seen.is_some() { 60 } else { 0 }) {
+        limiter.jobs = on_attempt(Repeats::Replayable).jobs;
+        account(&mut limiter);
+        let end = AttemptEnd { took: at(*answer), ..attempt_end(Ending::Served, true) };
+        limiter.end_attempt(at(1.0), &end, &mut Notes::default());
+    }
+    let round = Round { jobs: vec![Job { time_left: at(left), ..job() }], ..Round::default() };
+    let mut notes = Notes::default();
+    limiter.round(at(1.5), &round, &mut notes);
+    notes.lines.remove(0)
+}
+
 /// An attempt whose client's time was over before a usual answer could have come says nothing of its server, which may
 /// drop such requests without a word; one that waited for longer does.
 #[test_case(0.05 => true ; "less than a usual answer takes")]
--- a/crates/merlinreel-testbed/src/checker.rs
+++ b/crates/merlinreel-testbed/src/checker.rs
@@ -11,9 +11,10 @@
 use std::fmt;
 use std::time::Duration;
 
-/// What comes so long after SIGTERM has to have its answer before SIGKILL, which follows within that time here.
+/// What comes so long after SIGTERM has to have its answer before SIGKILL. That follows within the second time here; a later
+/// kill is of a process that was started again.
 const LATE_IN_A_STOP: Duration = Duration::from_millis(700);
-const KILL_FOLLOWS: Duration = Duration::from_secs(4);
+const KILL_FOLLOWS: Duration = Duration::from_millis(2450);
 
 /// How far a record may be from the rules' peer message: what the machine under the test may take.
 #[derive(Clone, Copy, Debug)]
--- a/crates/merlinreel-testbed/src/checker/tests.rs
+++ b/crates/merlinreel-testbed/src/checker/tests.rs
@@ -40,6 +40,7 @@
 #[test_case(&[(0, What::Crowded { limiter: 0 }), (1, asked("pay")), (9, unanswered(true))] => Vec::<String>::new() ; "a new connection shut in a crowd")]
 #[test_case(&[(0, What::Crowded { limiter: 0 }), (1, asked("pay")), (9, unanswered(false))] => vec!["no job lost"] ; "a kept one shut in a crowd")]
 #[test_case(&[(0, What::Terminated { limiter: 0 }), (800, asked("pay")), (1500, What::Killed { limiter: 0 }), (1501, unanswered(false))] => vec!["no job lost"] ; "late in a stop, found by the kill")]
+#[test_case(&[(0, What::Terminated { limiter: 0 }), (2600, asked("pay")), (2700, What::Killed { limiter: 0 }), (2701, unanswered(false))] => Vec::<String>::new() ; "found by another kill, behind a new start")]
 #[test_case(&[(0, What::Terminated { limiter: 0 }), (600, asked("pay")), (1500, What::Killed { limiter: 0 }), (1501, unanswered(false))] => Vec::<String>::new() ; "early in a stop, found by the kill")]
 #[test_case(&[(0, asked("pay")), (5, What::Gone { id: "a".into() }), (600, came(0, 1)), (601, What::Left { attempt: 1 })] => vec!["no attempt for who has gone"] ; "begun for who has gone")]
 #[test_case(&[(0, asked("pay")), (3, came(0, 1)), (5, What::Gone { id: "a".into() }), (60, What::Left { attempt: 1 })] => Vec::<String>::new() ; "begun before its client went")]
--- a/crates/merlinreel/src/clients/tests/reading.rs
+++ b/crates/merlinreel/src/clients/tests/reading.rs
@@ -101,6 +101,32 @@
     client_connection.flooded.load(Ordering::Relaxed)
 }
 
+/// The kernel ends a read before bytes that are there already, as at an urgent mark, and the poller tells of nothing more:
+/// the rest is read all the same, and the request served.
+#[tokio::test]
+async fn a_read_that_stops_short_holds_nothing_up() -> std::io::Result<()> {
+    use std::io::Write;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+    let (begin, rest) = LOOK.split_at(30);
+    client.write_all(begin)?;
+    socket2::SockRef::from(&client).send_out_of_band(b"!")?;
+    client.write_all(rest)?;
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    // All of it is there before the first read.
+    while stream.peek(&mut [0; 64])? < begin.len() {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let limits = Limits { client_whole: Duration::from_secs(3600), ..limits() };
+    let (door, mut news) = open_door(limits);
+    let _served = served(&door, TcpStream::from_std(stream)?);
+    let News::Arrival(arrival) = next(&mut news).await else { panic!("no job") };
+    assert_eq!(arrival.parcel.uri.path(), "/look");
+    Ok(())
+}
+
 /// A class whose requests have a body.
 fn paying() -> Terms {
     let settings = serde_json::json!({"packages": [{"name": "team"}], "balancers": 1, "classes":
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -9,6 +9,7 @@
 mod operations;
 mod pipelining;
 mod request_bodies;
+mod settings_at_their_limits;
 mod slow_clients;
 mod starts;
 mod stop;
