A starting limiter refuses little time left only by answers that it has seen

Line at fault: dispatch compared with the starting value of the usual answer, a fifth of the target time and half as much again. Change: that is compared only while answers of the last half minute were seen. dispatching says now that its usual answers were seen; it is as strict.

--- a/crates/merlinreel-core/src/decide/requests.rs
+++ b/crates/merlinreel-core/src/decide/requests.rs
@@ -204,6 +204,7 @@
     /// oldest first would make all late. What cannot be answered by its target time is given up at once.
     pub(super) fn dispatch(&mut self, now: Duration, out: &mut dyn Writer) {
         let mut queue = std::mem::take(&mut self.queue);
+        let answers_seen = self.answers.sum(now) > 0.0;
         // What gains less than half as much for its target time goes after; near equals fare alike.
         let worth = |open: &OpenJob| {
             let class = &self.classes[open.job.class];
@@ -218,9 +219,11 @@
             let Some(open) = self.jobs[job as usize].as_ref().filter(|open| !open.done && open.queued) else {
                 continue;
             };
-            // Half the target time bounds it: slow answers must not stop all sending for good.
+            // Half the target time bounds it: slow answers must not stop all sending for good. Nor does a starting value,
+            // before any answer was seen: nothing would be learnt where all have little time left.
             let least = secs(self.classes[open.job.class].target_time) / 2.0;
-            let hopeless = now + span((self.usual * 1.5).min(least)) >= open.target.min(open.give_up);
+            let needed = if answers_seen { (self.usual * 1.5).min(least) } else { 0.0 };
+            let hopeless = now + span(needed) >= open.target.min(open.give_up);
             if hopeless || !self.may_send_again(now, job) {
                 self.give_up(now, job, out);
                 continue;
--- a/crates/merlinreel-core/src/decide/tests/requests.rs
+++ b/crates/merlinreel-core/src/decide/tests/requests.rs
@@ -119,6 +119,8 @@
 fn dispatching(usual: f64, target: f64, decision: &str) {
     let mut limiter = on_attempt(Repeats::Replayable);
     (limiter.usual, limiter.queue) = (usual, vec![0]);
+    // It is what answers took.
+    limiter.answers.add(at(1.0), 1.0);
     limiter.servers[0].as_mut().into_iter().for_each(|server| server.out = 0);
     limiter.servers[1] = None;
     if let Some(open) = &mut limiter.jobs[0] {
@@ -220,6 +222,7 @@
 #[test_case(Some(0.2), 0.1 => "refuse 0 2.5" ; "slow answers seen")]
 fn little_time_left(seen: Option<f64>, left: f64) -> String {
     let mut limiter = with_servers(limiter(Repeats::Replayable, peers()));
+    limiter.servers[1] = None;
     for answer in seen.iter().cycle().take(if seen.is_some() { 60 } else { 0 }) {
         limiter.jobs = on_attempt(Repeats::Replayable).jobs;
         account(&mut limiter);
