--- a/crates/merlinreel-testbed/src/field.rs
+++ b/crates/merlinreel-testbed/src/field.rs
@@ -132,6 +132,8 @@
             if self.programs[i].as_mut().is_some_and(Program::kill_if_running) {
                 self.record.tell(What::Killed { limiter: i });
             }
+            // Nobody is there to be signalled until its next start.
+            self.programs[i] = None;
         }
         thread::sleep(until.saturating_duration_since(Instant::now()));
     }
