--- a/crates/merlinreel/src/clients.rs
+++ b/crates/merlinreel/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients' connections: takes jobs in, hands them to the driver, and gives each one answer.
 
 mod arrivals;
+mod body;
 mod connection;
 mod framing;
 mod hand;
--- a/crates/merlinreel/src/clients/intake.rs
+++ b/crates/merlinreel/src/clients/intake.rs
@@ -1,76 +1,23 @@
 //! A request taken in: read whole, handed to the driver as a job, and answered.
 
 use super::Door;
-use super::connection::{ClientConnection, lock};
+use super::body::BodyPatience;
+use super::connection::ClientConnection;
 use super::framing::{self, ObservedHead};
 use super::hand::{Attending, Hand};
 use crate::decode::{TXN, decode, encode, last, respond};
 use crate::flow::Reply;
-use crate::limits::Limits;
 use crate::log;
 use crate::messages::{Arrival, News, Parcel};
 use crate::servers::strip_hop_by_hop;
 use crate::stream::Tally;
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use merlinreel_core::Job;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
-use thiserror::Error;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
-use tokio::time::timeout_at;
-
-/// Why a body is not taken.
-#[derive(Debug, Error)]
-enum BodyError {
-    #[error("a body of {least} bytes or more is longer than {most}")]
-    TooLong { least: u64, most: usize },
-    #[error("too much in hand")]
-    NoRoom,
-    #[error("a repeatable class comes without a body")]
-    NotAllowed,
-    #[error("a body was not whole in time")]
-    Late,
-    #[error(transparent)]
-    Broken(#[from] hyper::Error),
-}
-
-/// How long a body may take. Guards the place against one that never ends.
-struct BodyPatience {
-    /// When a whole request is due.
-    due: Instant,
-    /// When its client gives up.
-    gone: Instant,
-    begun: Instant,
-}
-
-impl BodyPatience {
-    /// When the next piece must be there, with so many bytes before it: one that comes as fast as the slowest client sends
-    /// has longer than others.
-    fn until(&self, bytes: usize, limits: &Limits) -> Instant {
-        let sent_in = Duration::from_secs_f64(bytes as f64 / f64::from(limits.client_body_rate));
-        self.due.max(self.begun + sent_in + limits.client_body_pause).min(self.gone)
-    }
-}
-
-impl BodyError {
-    fn answer(&self) -> Response<Full<Bytes>> {
-        let status = match self {
-            BodyError::TooLong { .. } => {
-                log!("clients: {self}: 413");
-                return respond(StatusCode::PAYLOAD_TOO_LARGE, String::new());
-            }
-            BodyError::Late => {
-                log!("clients: {self}: 408");
-                return respond(StatusCode::REQUEST_TIMEOUT, String::new());
-            }
-            BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
-            BodyError::NotAllowed | BodyError::Broken(_) => StatusCode::BAD_REQUEST,
-        };
-        respond(status, format!("{self}\n"))
-    }
-}
+use std::time::Instant;
+use tokio::sync::oneshot;
 
 impl Door {
     /// The answer to a request, whose head showed what is `observed` and came at `sent`: the client's time runs from its
@@ -156,48 +103,6 @@
         Ok((job, Parcel { method: head.method, uri, headers: head.headers, body, claim }))
     }
 
-    /// The whole of a body and its place in the memory. One that comes in chunks, its length untold, takes its place
-    /// piece by piece; trailers are dropped.
-    async fn body(
-        &self,
-        mut body: Incoming,
-        allowed: bool,
-        patience: BodyPatience,
-        client_connection: &ClientConnection,
-    ) -> Result<(Bytes, OwnedSemaphorePermit), BodyError> {
-        let (most, least) = (self.limits.body, body.size_hint().lower());
-        if least > most as u64 {
-            return Err(BodyError::TooLong { least, most });
-        }
-        let told = least as usize;
-        // Guards the memory against many large bodies at once.
-        let mut room = self.claims.body(told).ok_or(BodyError::NoRoom)?;
-        // Copied: pieces as they are would each keep a whole buffer of the connection's.
-        let mut whole = Vec::with_capacity(told);
-        loop {
-            let until = patience.until(whole.len(), &self.limits);
-            lock(&client_connection.times).body_due = Some(until);
-            let Some(frame) = timeout_at(until.into(), body.frame()).await.map_err(|_| BodyError::Late)?
-            else {
-                break;
-            };
-            let Ok(piece) = frame?.into_data() else { continue };
-            if !allowed {
-                return Err(BodyError::NotAllowed);
-            }
-            let length = whole.len() + piece.len();
-            if length > most {
-                return Err(BodyError::TooLong { least: length as u64, most });
-            }
-            let beyond = length.saturating_sub(room.num_permits());
-            if !self.claims.grow(&mut room, beyond) {
-                return Err(BodyError::NoRoom);
-            }
-            whole.extend_from_slice(&piece);
-        }
-        Ok((Bytes::from(whole.into_boxed_slice()), room))
-    }
-
     async fn job(
         &self,
         job: Job,
