Test that fails: several requests at once at a limiter that is busy

Seen: of three requests in one piece one is told 503 and the connection closes over the two that were read with it.

--- a/crates/merlinreel/tests/sockets/pipelining.rs
+++ b/crates/merlinreel/tests/sockets/pipelining.rs
@@ -117,3 +117,33 @@
     assert_eq!(client.receive().map(|answer| answer.status()), Some(200));
     assert!(program.end().success());
 }
+
+/// No more requests can be in hand: each of those that a client sent at once is told so, not the first alone.
+#[test]
+fn each_of_several_requests_is_told_that_the_limiter_is_busy() {
+    const BEHIND: usize = 3;
+    let server = StandIn::start(|_| React::Hang);
+    let mut config = config(&[listed("s-1", server.address, "up")]);
+    config["limits"]["sockets"] = 80.into();
+    (config["settings"]["classes"][2]["promiseS"], config["settings"]["classes"][2]["hardLimitS"]) =
+        (20.into(), 30.into());
+    let program = Program::start(&config);
+    let holders: Vec<Client> = (0..45)
+        .map(|customer| {
+            let mut client = program.client();
+            client.send(&request("pay", customer, 1, "25000m"));
+            client
+        })
+        .collect();
+    server.next();
+    // Until all places are held, what comes waits at the server for its time.
+    let told = (0..100).find_map(|_| {
+        let mut client = program.client();
+        client.send(&(0..BEHIND).map(|n| request("pay", 100 + n as u32, 1, "200m")).collect::<String>());
+        let statuses: Vec<u16> =
+            (0..BEHIND).map_while(|_| client.receive()).map(|answer| answer.status()).collect();
+        statuses.contains(&503).then_some(statuses)
+    });
+    drop(holders);
+    assert_eq!(told.expect("one that is told"), [503; BEHIND]);
+}
