A refusal for want of places leaves the connection to what was read behind it

Line at fault: Door::request told the closing with each 503, whatever had been read. Change: it does so where nothing was; what was read is told the same in its turn.

--- a/crates/merlinreel/src/clients/intake.rs
+++ b/crates/merlinreel/src/clients/intake.rs
@@ -55,8 +55,10 @@
         let hand = Hand::take(self, client_connection);
         // The places beyond are kept to say so to whoever comes, at once.
         if hand.number >= self.limits.clients {
-            return last(respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned()))
-                .map(Either::Left);
+            let busy = respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n".to_owned());
+            // Guards what was read behind it against a close with no answer: it is told the same, in its turn.
+            let answer = if client_connection.more_was_read() { busy } else { last(busy) };
+            return answer.map(Either::Left);
         }
         // A stop has its own end: what comes late has its answer by then.
         let until = sent + job.time_left;
