--- a/crates/merlinreel/tests/sockets/starts.rs
+++ b/crates/merlinreel/tests/sockets/starts.rs
@@ -247,3 +247,24 @@
     }
     assert_eq!((old.seen.try_iter().count(), new.seen.try_iter().count()), (0, 5));
 }
+
+/// A process that is asked to stop before it ever served, while it waits for a silent discovery: who connected meanwhile is
+/// answered all the same.
+#[test]
+fn a_stop_during_a_start_answers_who_came() {
+    let server = StandIn::start(|_| fine());
+    let discovery = StandIn::start(|_| React::Hang);
+    let mut config = config(&[listed("s-1", server.address, "up")]);
+    config["discovery"] = discovery.address.to_string().into();
+    let mut process = LimitedProcess::start(&config, DESCRIPTORS);
+    let until = Instant::now() + PATIENCE;
+    let mut client = std::iter::repeat_with(|| Client::connect(process.address).ok())
+        .take_while(|_| Instant::now() < until)
+        .flatten()
+        .next()
+        .expect("a socket");
+    client.send(&request("pay", 1, 1, "3000m"));
+    process.signal("-TERM");
+    assert_eq!(client.receive().map(|answer| answer.status()), Some(200));
+    assert!(process.end().success());
+}
