--- a/crates/merlinreel-testbed/src/client.rs
+++ b/crates/merlinreel-testbed/src/client.rs
@@ -18,7 +18,12 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> io::Result<Client> {
-        let to = TcpStream::connect(address)?;
+        Client::connect_within(address, PATIENCE)
+    }
+
+    /// An error where the connection is not up within that time, as the other side's queue may be full.
+    pub fn connect_within(address: SocketAddr, span: Duration) -> io::Result<Client> {
+        let to = TcpStream::connect_timeout(&address, span)?;
         to.set_read_timeout(Some(PATIENCE))?;
         Ok(Client { from: BufReader::new(to.try_clone()?), to })
     }
--- a/crates/merlinreel-testbed/src/field.rs
+++ b/crates/merlinreel-testbed/src/field.rs
@@ -36,6 +36,8 @@
 const KILL_AFTER: Duration = Duration::from_millis(700);
 /// More than a limiter has places for.
 const CROWD: usize = 160;
+/// One of a crowd that has to wait longer goes, and is the last to come: the process may stand still, its queue full.
+const CROWD_WAITS: Duration = Duration::from_millis(100);
 
 impl Field {
     /// Starts so many of each, and waits until all serve.
@@ -143,7 +145,7 @@
         self.record.tell(What::Crowded { limiter: i });
         let address = self.address(i);
         let come = |n: usize| {
-            let mut client = Client::connect(address).ok()?;
+            let mut client = Client::connect_within(address, CROWD_WAITS).ok()?;
             client.send(if n.is_multiple_of(2) { "GET /look?key=7 HTTP/1.1\r\nHost:" } else { "" });
             Some(client)
         };
--- a/crates/merlinreel/tests/sockets/starts.rs
+++ b/crates/merlinreel/tests/sockets/starts.rs
@@ -268,3 +268,20 @@
     assert_eq!(client.receive().map(|answer| answer.status()), Some(200));
     assert!(process.end().success());
 }
+
+/// A process that stands still for a moment, as one whose accept fails does: all who connect meanwhile wait on its socket, and
+/// are answered. The kernel drops what does not fit into a listener's queue, and its client tries again only after a second.
+#[test]
+fn who_connects_while_the_process_stands_still_is_answered() {
+    const CLIENTS: usize = 500;
+    let mut config = config(&[]);
+    config["limits"]["sockets"] = 1024.into();
+    let program = Program::start(&config);
+    program.signal("-STOP");
+    let come = |_| Client::connect_within(program.address, Duration::from_millis(500));
+    let mut waiting: Vec<Client> = (0..CLIENTS).map_while(|n| come(n).ok()).collect();
+    program.signal("-CONT");
+    assert_eq!(waiting.len(), CLIENTS);
+    let call = "GET /up HTTP/1.1\r\nHost: svc\r\n\r\n";
+    assert!(waiting.iter_mut().all(|client| client.call(call).is_some_and(|answer| answer.status() == 200)));
+}
