The clients' socket queues 4,096 connections, not 128

Line at fault: TcpListener::bind leaves the queue's length to the library. Change: limits.backlog, given to listen(2). The test sends its calls as it connects now: who is silent gives way to others by rule.

--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -28,7 +28,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use system_errors::is_of_this_machine;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -57,6 +57,14 @@
     }
 }
 
+/// Listens at an address that a process before may have left just now, with so many connections waiting at most.
+fn listen_at(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
 /// What the operators' door tells.
 struct Told {
     door: Arc<clients::Door>,
@@ -128,7 +136,7 @@
         Some(handed) => {
             TcpListener::from_std(handed).map_err(|error| named("PROXY_LISTEN_FD", listen, error))?
         }
-        None => bound(limits.bind, async || TcpListener::bind(listen).await)
+        None => bound(limits.bind, async || listen_at(listen, limits.backlog))
             .await
             .map_err(|error| named("listen", listen, error))?,
     };
--- a/crates/merlinreel/src/limits.rs
+++ b/crates/merlinreel/src/limits.rs
@@ -38,6 +38,9 @@
     pub flowing: u64,
     /// Bytes of a list of servers, as discovery's answer brings it.
     pub server_list: usize,
+    /// Connections that wait on the clients' socket, at most; the kernel drops those beyond, whose clients come again after
+    /// a second.
+    pub backlog: u32,
     /// A socket that can't be bound at the start is tried for so long.
     pub bind: Duration,
     /// A connection to a server must be up within this.
@@ -145,6 +148,8 @@
             server_list: (((memory_mb as usize) << 20) / LIST_PART).max(LEAST_LIST),
             // Well within the time in which a process is to be ready.
             bind: Duration::from_secs(3),
+            // As many as most kernels allow; they hold no descriptors of the process.
+            backlog: 4096,
             connect: if connect.is_zero() { Duration::from_millis(250) } else { connect },
             // What is written to a connection that the server just closed is lost: far from that moment.
             server_idle: idle.mul_f64(0.6),
--- a/crates/merlinreel/tests/sockets/starts.rs
+++ b/crates/merlinreel/tests/sockets/starts.rs
@@ -278,10 +278,13 @@
     config["limits"]["sockets"] = 1024.into();
     let program = Program::start(&config);
     program.signal("-STOP");
-    let come = |_| Client::connect_within(program.address, Duration::from_millis(500));
-    let mut waiting: Vec<Client> = (0..CLIENTS).map_while(|n| come(n).ok()).collect();
+    let come = |_| {
+        let mut client = Client::connect_within(program.address, Duration::from_millis(500)).ok()?;
+        client.send("GET /up HTTP/1.1\r\nHost: svc\r\n\r\n");
+        Some(client)
+    };
+    let mut waiting: Vec<Client> = (0..CLIENTS).map_while(come).collect();
     program.signal("-CONT");
     assert_eq!(waiting.len(), CLIENTS);
-    let call = "GET /up HTTP/1.1\r\nHost: svc\r\n\r\n";
-    assert!(waiting.iter_mut().all(|client| client.call(call).is_some_and(|answer| answer.status() == 200)));
+    assert!(waiting.iter_mut().all(|client| client.receive().is_some_and(|answer| answer.status() == 200)));
 }
