--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -354,15 +354,15 @@
     assert!(clients[0].call(&request("look", 1001, 1, "3000m")).is_none());
 }
 
-#[test]
-fn with_every_connection_busy_newcomers_are_told_so() {
+/// A limiter whose requests in hand are as many as it may have, or soon are: their clients wait at a server that hangs.
+fn busy_limiter() -> (StandIn, Program, Vec<Client>) {
     let server = StandIn::start(|_| React::Hang);
     let mut config = config(&[listed("s-1", server.address, "up")]);
     config["limits"]["sockets"] = 80.into();
     (config["settings"]["classes"][2]["promiseS"], config["settings"]["classes"][2]["hardLimitS"]) =
         (20.into(), 30.into());
     let program = Program::start(&config);
-    let holders: Vec<Client> = (0..45)
+    let holders = (0..45)
         .map(|customer| {
             let mut client = program.client();
             client.send(&request("pay", customer, 1, "25000m"));
@@ -370,6 +370,12 @@
         })
         .collect();
     server.next();
+    (server, program, holders)
+}
+
+#[test]
+fn with_every_connection_busy_newcomers_are_told_so() {
+    let (_server, program, holders) = busy_limiter();
     // Whoever of the others is read first: soon all places are held.
     let told = (0..100).find_map(|_| {
         let answer = program.client().call(&request("pay", 100, 1, "200m"))?;
--- a/crates/merlinreel/tests/sockets/pipelining.rs
+++ b/crates/merlinreel/tests/sockets/pipelining.rs
@@ -122,20 +122,7 @@
 #[test]
 fn each_of_several_requests_is_told_that_the_limiter_is_busy() {
     const BEHIND: usize = 3;
-    let server = StandIn::start(|_| React::Hang);
-    let mut config = config(&[listed("s-1", server.address, "up")]);
-    config["limits"]["sockets"] = 80.into();
-    (config["settings"]["classes"][2]["promiseS"], config["settings"]["classes"][2]["hardLimitS"]) =
-        (20.into(), 30.into());
-    let program = Program::start(&config);
-    let holders: Vec<Client> = (0..45)
-        .map(|customer| {
-            let mut client = program.client();
-            client.send(&request("pay", customer, 1, "25000m"));
-            client
-        })
-        .collect();
-    server.next();
+    let (_server, program, holders) = super::busy_limiter();
     // Until all places are held, what comes waits at the server for its time.
     let told = (0..100).find_map(|_| {
         let mut client = program.client();
