Request bodies: a late limiter reads what has arrived before it answers 408

What callers saw: 408 for a complete, valid upload, with bodies of many small chunks on a busy machine and with any body under way while the process was held up past the body's deadline. A crowd could also have such a connection evicted unanswered.

Cause: a timer ended the body while its bytes lay in the socket or the read-ahead. strace of the limiter before, stopped with half a body read and continued after its deadline: SIGCONT, epoll_wait EINTR without events, 408 written with no recvfrom. And each chunk cost a turn of the scheduler, a new timer (21 % of the time, 5 % its removal), locks and a reservation, so that 65,536 chunks of a byte took longer than the 2.2 s wherever the limiter had a quarter of a core.

Change: the stream records whether the last read found nothing more; only then is a body held to its deadline, after the poller was asked once more, and only then may pressure evict a connection with part of a request.

--- a/crates/merlinreel/src/client/connection.rs
+++ b/crates/merlinreel/src/client/connection.rs
@@ -26,6 +26,10 @@
     pub delivered_bytes: AtomicU64,
     /// Those of them that make up the requests before the next one.
     consumed_bytes: AtomicU64,
+    /// The last read found nothing more: what is missing of a request is the client's to send.
+    awaits_input: AtomicBool,
+    /// A frame of a body was read since this was asked last.
+    body_progressed: AtomicBool,
     /// Bytes that were read and that the library was not given yet.
     pub buffered_bytes: AtomicUsize,
     /// The head that the HTTP library read last has a Content-Length line.
@@ -81,6 +85,8 @@
             overflowed: AtomicBool::new(false),
             delivered_bytes: AtomicU64::new(0),
             consumed_bytes: AtomicU64::new(0),
+            awaits_input: AtomicBool::new(false),
+            body_progressed: AtomicBool::new(false),
             buffered_bytes: AtomicUsize::new(0),
             has_content_length: AtomicBool::new(false),
             times: Mutex::new(ConnectionTimes {
@@ -115,6 +121,26 @@
         lock(&self.times).head_arrived_at
     }
 
+    /// Records whether the last read found nothing more.
+    pub fn set_awaits_input(&self, awaits_input: bool) {
+        self.awaits_input.store(awaits_input, Ordering::Relaxed);
+    }
+
+    /// Whether the last read found nothing more: only then may a client be held to a deadline of its request.
+    pub fn awaits_input(&self) -> bool {
+        self.awaits_input.load(Ordering::Relaxed)
+    }
+
+    /// Records that a frame of a body was read.
+    pub fn record_body_progress(&self) {
+        self.body_progressed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a frame of a body was read since the last call.
+    pub fn take_body_progress(&self) -> bool {
+        self.body_progressed.swap(false, Ordering::Relaxed)
+    }
+
     /// Counts all that the HTTP library was given so far as consumed: complete requests, or heads whose body is to come. The
     /// library hands a request over before it reads anything behind its head, and a chunked body ends with a section.
     pub fn consume_delivered(&self) {
@@ -169,11 +195,20 @@
         times.body_due.map_or(due, |body_due| due.max(body_due))
     }
 
+    /// Whether the rest of a request may lie unread, as the limiter is behind its client. One that takes no response is
+    /// behind itself.
+    fn may_have_unread_rest(&self, times: &ConnectionTimes) -> bool {
+        times.partial_since.is_some()
+            && times.write_blocked_since.is_none()
+            && !self.awaits_input()
+            && !self.closing.load(Ordering::Relaxed)
+    }
+
     /// Whether it can be closed under pressure. A new connection has longer, as its first request may not have been read
     /// yet: clients repeat a lost request by themselves only on connections that they used before.
     pub fn is_evictable(&self, limits: &Limits) -> bool {
         let times = lock(&self.times);
-        if times.is_write_blocked(limits) {
+        if times.is_write_blocked(limits) || self.may_have_unread_rest(&times) {
             return false;
         }
         let evict_after = match (times.partial_since, self.requests.load(Ordering::Relaxed)) {
--- a/crates/merlinreel/src/client/serving.rs
+++ b/crates/merlinreel/src/client/serving.rs
@@ -7,6 +7,7 @@
 use super::stream::ClientStream;
 use crate::log;
 use crate::messages::streaming_body::ResponseBody;
+use crate::net::late_deadline::POLLER_TURN;
 use crate::sync::lock;
 use crate::telemetry::metrics::{ResponseOutcome, class_of};
 use http_body_util::Either;
@@ -17,8 +18,11 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -26,8 +30,8 @@
 /// A client connection as the HTTP library reads and writes it.
 type HttpStream = TokioIo<ClientStream>;
 
-/// A connection that is to close is polled for this long before: a request may have arrived and not been read.
-const POLL_BEFORE_CLOSE: Duration = Duration::from_millis(1);
+/// Polls of a connection at once while it reads a body; other tasks run after these.
+const MAX_POLLS_AT_ONCE: usize = 32;
 
 impl ClientListener {
     /// Serves a connection until it has ended.
@@ -71,11 +75,12 @@
         let idle_timer = sleep(self.limits.client.request_timeout);
         tokio::pin!(close_timer, idle_timer);
         let mut is_closing = false;
-        let poll_end = || tokio::time::Instant::now() + POLL_BEFORE_CLOSE;
+        // A connection that is to close is polled before: a request may have arrived and not been read.
+        let poll_end = || tokio::time::Instant::now() + POLLER_TURN;
         loop {
             tokio::select! {
                 biased;
-                _ = &mut connection => return None,
+                () = poll_fn(|cx| poll_connection(&mut connection, client_connection, cx)) => return None,
                 () = &mut close_timer, if is_closing => {
                     if client_connection.closing.load(Ordering::Relaxed) {
                         // It lingers, and was evicted meanwhile.
@@ -169,6 +174,25 @@
     }
 }
 
+/// Polls a connection, and polls it again as long as it reads a body that is at hand: the HTTP library passes on one frame
+/// a poll, and a turn of the scheduler for each would cost more than the frame.
+fn poll_connection<E>(
+    mut connection: impl Future<Output = Result<(), E>> + Unpin,
+    client_connection: &ClientConnection,
+    cx: &mut Context,
+) -> Poll<()> {
+    for _ in 0..MAX_POLLS_AT_ONCE {
+        if Pin::new(&mut connection).poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        if !client_connection.take_body_progress() {
+            break;
+        }
+    }
+    // The library has this task woken for the frames that are left.
+    Poll::Pending
+}
+
 /// Takes an idle connection back from the HTTP library. One with part of a request on it, whose time is over, is closed.
 async fn reclaim_idle(
     mut stream: HttpStream,
--- a/crates/merlinreel/src/client/stream.rs
+++ b/crates/merlinreel/src/client/stream.rs
@@ -154,6 +154,9 @@
     /// behind a request, and servers would work on requests that nobody waits for. Nothing is read while the memory is in
     /// use; what is longer than any client's requests is dropped, and the response announces the close.
     fn read_ahead(&mut self, cx: &mut Context) -> io::Result<()> {
+        if !self.client_connection.busy.load(Ordering::Relaxed) {
+            return Ok(());
+        }
         let mut piece = [0; READ_AHEAD_BYTES];
         while self.lingering.is_none() && self.client_connection.busy.load(Ordering::Relaxed) {
             let wanted = self.read_ahead_bytes() + READ_AHEAD_BYTES;
@@ -235,6 +238,7 @@
         cx: &mut Context,
         into: &mut ReadBuf,
     ) -> Poll<io::Result<()>> {
+        self.client_connection.set_awaits_input(false);
         if !self.buffer.is_empty() {
             self.read_buffered(into);
             return Poll::Ready(Ok(()));
@@ -243,7 +247,9 @@
             return Poll::Ready(Ok(()));
         }
         let start = into.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, into))?;
+        let read = Pin::new(&mut self.stream).poll_read(cx, into);
+        self.client_connection.set_awaits_input(read.is_pending());
+        ready!(read)?;
         self.buffer_excess(into, start);
         Poll::Ready(Ok(()))
     }
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod settings_bounds;
 mod slow_clients;
 mod startup;
+mod suspended_limiter;
 mod system_call_failures;
 mod truncated_responses;
 
