Attempts: a keyed retry that was written in time is awaited past its key's window

What callers saw: 502 for a keyed request whose retry had reached its server before the key's window ended, and whose response came after it.

Cause: the write deadline was a select! branch with the precondition that bytes are still to be written. A precondition is evaluated as the select! is entered, before the first byte is written, so the branch stayed enabled.

Change: the future of the write deadline looks at the bytes written when its time has come. No other precondition in the tree changes while its select! waits (looked at: serving, connection_task, event_loop, exchange).

Seen failing before: response_is_awaited_after_the_write_deadline_of_a_written_attempt, DeadlineExceeded in place of Success.

--- a/crates/merlinreel/src/upstream/exchange.rs
+++ b/crates/merlinreel/src/upstream/exchange.rs
@@ -3,7 +3,7 @@
 use super::attempt::Attempt;
 use super::connection::UpstreamConnection;
 use super::message::{DecodedResponse, decode, encode, wire_length};
-use super::open_connection::OpenConnection;
+use super::open_connection::{OpenConnection, WriteObserver};
 use super::response::{ReceivedBody, ReceivedResponse, receive};
 use crate::log;
 use crate::messages::streaming_body::StreamEnd;
@@ -53,6 +53,14 @@
     }
 }
 
+/// Waits until `written_by`, and further without end where the last byte was written by then.
+async fn wait_for_unwritten(written_by: Instant, observer: &WriteObserver, range: WriteRange) {
+    sleep_until(written_by.into()).await;
+    if observer.bytes_written() >= range.end {
+        std::future::pending::<()>().await;
+    }
+}
+
 impl UpstreamConnection {
     /// Makes an attempt on a connection that is up.
     ///
@@ -110,7 +118,7 @@
             receive(sender.send_request(request).await?, &memory, max_bytes).await
         };
         let deadline = sleep_until(attempt.deadline.into());
-        let write_deadline = sleep_until(attempt.written_by().into());
+        let write_deadline = wait_for_unwritten(attempt.written_by(), observer, range);
         tokio::pin!(response, deadline, write_deadline);
         let has_started = || observer.bytes_written() > range.start;
         loop {
@@ -121,9 +129,7 @@
                 }
                 // Before anything more is written: where the connection came up late or takes the request in parts, a
                 // retry with an idempotency key must not arrive after the servers have forgotten the key.
-                () = &mut write_deadline, if observer.bytes_written() < range.end => {
-                    return Err(AttemptOutcome::DeadlineExceeded);
-                }
+                () = &mut write_deadline => return Err(AttemptOutcome::DeadlineExceeded),
                 // Before the response, as that is what it reads: the response is then there in the same poll.
                 result = http.as_mut(), if !*ended => {
                     self.record_connection_end(result);
--- a/crates/merlinreel/src/upstream/tests.rs
+++ b/crates/merlinreel/src/upstream/tests.rs
@@ -390,3 +390,30 @@
     }
     assert!(read.len() < body, "{}", read.len());
 }
+
+/// Guards against a retry with an idempotency key that is given up when its key's window ends, though it was completely
+/// written before and its server still works on it.
+#[tokio::test]
+async fn response_is_awaited_after_the_write_deadline_of_a_written_attempt() {
+    let (listener, address) = listener().await;
+    let (mut pool, mut events) = pool(address, 4);
+    let write_within = Duration::from_millis(200);
+    let _connection = pool
+        .start_attempt(
+            ServerIndex(0),
+            Attempt {
+                write_deadline: Some(Instant::now() + write_within),
+                ..attempt(1, 1, 3 * LONG)
+            },
+        )
+        .expect("a connection");
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    assert!(stream.read(&mut [0; 1024]).await.expect("a request") > 0);
+    sleep(2 * write_within).await;
+    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    let _ = stream.write_all(response).await;
+    assert_eq!(
+        completion(&mut events).await.outcome,
+        AttemptOutcome::Success
+    );
+}
