Attempts, health checks and calls: what arrived in time counts though the limiter is late

What callers saw: 502 or 429 for a request whose response lay in the limiter's socket before the attempt's deadline, because the limiter was held up past it; a healthy server could be called unreachable, a new process start with its cached list.

Used for attempts' responses, connects to servers and discovery, health checks, the admin call, the first list. Write deadlines stay strict.

--- a/crates/merlinreel/src/admin.rs
+++ b/crates/merlinreel/src/admin.rs
@@ -11,6 +11,7 @@
 use crate::config::limits::Limits;
 use crate::log;
 use crate::net::backoff::Backoff;
+use crate::net::late_deadline::timeout_caught_up;
 use crate::net::observed_stream::{ObservedStream, Unobserved};
 use crate::net::text_response::text_response;
 use http_body_util::Full;
@@ -25,7 +26,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
 
 /// What the admin endpoint reports.
 pub trait AdminStatus: Send + Sync + 'static {
@@ -109,7 +109,7 @@
             service,
         );
     // Ends a call whose body never does, too.
-    let _ = timeout(call_timeout * 2, connection).await;
+    let _ = timeout_caught_up(call_timeout * 2, connection).await;
 }
 
 #[cfg(test)]
--- a/crates/merlinreel/src/endpoints/discovery_connection.rs
+++ b/crates/merlinreel/src/endpoints/discovery_connection.rs
@@ -1,6 +1,7 @@
 //! A connection to the discovery agent, and one call on it.
 
 use super::open_calls::Progress;
+use crate::net::late_deadline::timeout_caught_up;
 use crate::net::observed_stream::{ObservedStream, Unobserved};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Bytes, Incoming};
@@ -15,7 +16,6 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
 
 /// Why a call to discovery brought no list.
 #[derive(Debug, Error)]
@@ -74,7 +74,7 @@
         address: SocketAddr,
         within: Duration,
     ) -> Result<DiscoveryConnection, DiscoveryError> {
-        let stream = timeout(within, TcpStream::connect(address)).await;
+        let stream = timeout_caught_up(within, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| DiscoveryError::NoConnection(within))??;
         let _ = stream.set_nodelay(true);
         let io = TokioIo::new(ObservedStream::new(stream, Arc::new(Unobserved)));
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -25,6 +25,7 @@
 use event_loop::{Clock, EventLoop};
 use mesh::MeshTasks;
 use messages::{ActiveSettings, Queue};
+use net::late_deadline::timeout_caught_up;
 use startup::admin_status::GatewayStatus;
 use startup::background_tasks::BackgroundTasks;
 use startup::sockets::Sockets;
@@ -32,9 +33,9 @@
 use std::io;
 use std::sync::Arc;
 use telemetry::metrics::Metrics;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{Timeout, timeout};
+use tokio::time::error::Elapsed;
 use upstream::UpstreamPool;
 
 /// Runs one limiter until `stop` ends and the requests in flight have their responses; `reloads` bring what the operators
@@ -68,7 +69,7 @@
     tasks.forward_settings(reloads.settings, &queue);
     sockets.log_address(&config);
     let limits = config.limits.clone();
-    let first_list = timeout(limits.endpoints.first_list_timeout, first_list);
+    let first_list = timeout_caught_up(limits.endpoints.first_list_timeout, first_list);
     let client_listener = ClientListener::new(limits, active_settings, queue, metrics.clone());
     let mesh_tasks = join_mesh(&config, &client_listener).await?;
     let status = GatewayStatus {
@@ -109,10 +110,10 @@
 
 /// Serves clients from the first endpoint list on. The agent's present list applies to the first request already, as servers
 /// may have left since the cached one. Clients wait on the socket meanwhile, and `/healthcheck` says no.
-async fn serve_clients(
+async fn serve_clients<T>(
     client_listener: Arc<ClientListener>,
     sockets: Sockets,
-    first_list: Timeout<oneshot::Receiver<()>>,
+    first_list: impl Future<Output = Result<T, Elapsed>>,
     stop: impl Future<Output = ()>,
 ) {
     if first_list.await.is_err() {
--- a/crates/merlinreel/src/upstream/exchange.rs
+++ b/crates/merlinreel/src/upstream/exchange.rs
@@ -7,6 +7,7 @@
 use super::response::{ReceivedBody, ReceivedResponse, receive};
 use crate::log;
 use crate::messages::streaming_body::StreamEnd;
+use crate::net::late_deadline::sleep_until_caught_up;
 use crate::telemetry::metrics::class_of;
 use http_body_util::Full;
 use hyper::Request;
@@ -117,7 +118,7 @@
             sender.ready().await?;
             receive(sender.send_request(request).await?, &memory, max_bytes).await
         };
-        let deadline = sleep_until(attempt.deadline.into());
+        let deadline = sleep_until_caught_up(attempt.deadline);
         let write_deadline = wait_for_unwritten(attempt.written_by(), observer, range);
         tokio::pin!(response, deadline, write_deadline);
         let has_started = || observer.bytes_written() > range.start;
--- a/crates/merlinreel/src/upstream/health_check.rs
+++ b/crates/merlinreel/src/upstream/health_check.rs
@@ -2,6 +2,7 @@
 
 use super::load_report::read_load;
 use crate::messages::{Event, Queue};
+use crate::net::late_deadline::timeout_caught_up;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::handshake;
@@ -14,7 +15,6 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::timeout;
 
 /// Where a server is asked for its load.
 const LOAD_PATH: &str = "/metrics/load";
@@ -39,7 +39,7 @@
     /// Makes the check and sends its result to the queue; `permit` is held as long as the connection is open.
     pub async fn run(self, permit: OwnedSemaphorePermit, queue: Queue) {
         let started = Instant::now();
-        let load = timeout(self.timeout, self.fetch_load())
+        let load = timeout_caught_up(self.timeout, self.fetch_load())
             .await
             .ok()
             .flatten();
--- a/crates/merlinreel/src/upstream/open_connection.rs
+++ b/crates/merlinreel/src/upstream/open_connection.rs
@@ -4,6 +4,7 @@
 use crate::config::limits::Limits;
 use crate::log;
 use crate::net::backoff::Backoff;
+use crate::net::late_deadline::timeout_caught_up;
 use crate::net::observed_stream::{IoObserver, ObservedStream};
 use crate::net::system_errors::is_of_this_machine;
 use http_body_util::Full;
@@ -18,7 +19,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 /// Counts the bytes that the kernel took, which proves that a request's last byte was not written.
 pub struct WriteObserver {
@@ -91,7 +91,7 @@
 ///
 /// What it proves about an attempt that no connection came up for it.
 pub async fn connect(address: SocketAddr, within: Duration) -> Result<TcpStream, AttemptOutcome> {
-    match timeout(within, connect_with_retry(address)).await {
+    match timeout_caught_up(within, connect_with_retry(address)).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(error)) => {
             log!("server at {address}: no connection: {error}");
--- a/crates/merlinreel/tests/sockets/suspended_limiter.rs
+++ b/crates/merlinreel/tests/sockets/suspended_limiter.rs
@@ -98,3 +98,29 @@
         Some(200)
     );
 }
+
+/// Guards against a response that is thrown away, and its server blamed, because the attempt's deadline passed while the
+/// limiter was held up: it lay in the socket in time.
+#[test_case("look")]
+#[test_case("pay")]
+fn response_that_arrived_in_time_is_passed_on_after_a_suspension_past_the_attempt_s_deadline(
+    class: &str,
+) {
+    const PIECES: usize = 4;
+    let server = ScriptedServer::start(|_| {
+        Reaction::Trickle(Trickle {
+            head: format!("HTTP/1.1 200 OK\r\nContent-Length: {PIECES}\r\n\r\n"),
+            piece: "x",
+            every: Duration::from_millis(50),
+            pieces: PIECES,
+        })
+    });
+    let program = Program::start(&config(&[instance("s-1", server.address, "up")]));
+    let mut client = program.client();
+    client.send(&request(class, 7, 1, "1000m"));
+    server.next_request();
+    suspend(&program, Duration::from_millis(1200), || {});
+    let response = client.receive().expect("a response");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.body, "x".repeat(PIECES));
+}
