Policy: a tick that is itself late does not judge attempts overdue

What callers saw: after a limiter was held up, its servers counted as failed and idempotent attempts were cancelled, though the responses lay in its sockets.

Cause: the tick runs by a timer, which fires before the sockets are read; overdue attempts were judged by the time alone.

Change: a tick that comes over 0.1 s late leaves them to the next one, 20 ms or so later, by when the results have been read.

Seen failing before: attempts_are_not_judged_by_a_late_tick, cancelled and one failure at the late tick.

--- a/crates/merlinreel-policy/src/limiter.rs
+++ b/crates/merlinreel-policy/src/limiter.rs
@@ -35,6 +35,8 @@
 /// ...and this time at most.
 const MAX_EXPECTED_SECONDS: f64 = 1.0;
 const LEAST_WAKEUP: Duration = Duration::from_millis(1);
+/// A tick that comes later than this shows that the limiter was held up, and results may still wait to be read.
+const MAX_TICK_DELAY: Duration = Duration::from_millis(100);
 
 /// When things are due that no event asks for.
 #[derive(Debug, Default)]
@@ -118,8 +120,9 @@
             completion::complete(request, limits, &mut self.quotas, requests, actions);
         }
         if now >= self.schedule.next_tick {
+            let was_held_up = now > self.schedule.next_tick + MAX_TICK_DELAY;
             self.schedule.next_tick = now + tick_interval(&self.config.fleet);
-            self.tick(now, actions);
+            self.tick(now, was_held_up, actions);
         }
         self.dispatch().run(now, actions);
         if now >= self.schedule.next_wakeup {
@@ -223,18 +226,21 @@
         }
     }
 
-    /// All that is done at intervals.
-    fn tick(&mut self, now: Duration, actions: &mut dyn Actions) {
+    /// All that is done at intervals. Attempts are not judged in a tick that is late itself, as their responses may have
+    /// come in time.
+    fn tick(&mut self, now: Duration, was_held_up: bool, actions: &mut dyn Actions) {
         self.send_updates(now, actions);
         endpoint_updates::renew_subscription(now, &mut self.subscription, actions);
-        detect_overdue_attempts(
-            now,
-            &self.config,
-            &mut self.servers,
-            &mut self.latency,
-            &mut self.requests,
-            actions,
-        );
+        if !was_held_up {
+            detect_overdue_attempts(
+                now,
+                &self.config,
+                &mut self.servers,
+                &mut self.latency,
+                &mut self.requests,
+                actions,
+            );
+        }
         let LimiterConfig {
             fleet, endpoints, ..
         } = &self.config;
--- a/crates/merlinreel-policy/src/server/tests/overdue_attempts.rs
+++ b/crates/merlinreel-policy/src/server/tests/overdue_attempts.rs
@@ -1,3 +1,4 @@
+use crate::events::EventBatch;
 use crate::limiter::Limiter;
 use crate::model::request_class::Idempotency;
 use crate::server::overdue_attempts::{detect_overdue_attempts, overdue_after};
@@ -41,3 +42,24 @@
     let server = server_mut(&mut limiter, 0);
     (server.limit.in_flight, server.health.consecutive_failures)
 }
+
+/// Guards against servers that are blamed, and attempts that are cancelled, because the limiter itself was held up: the tick
+/// after the late one judges.
+#[test]
+fn attempts_are_not_judged_by_a_late_tick() {
+    let mut limiter = with_attempt(Idempotency::Idempotent);
+    pending_mut(&mut limiter, 0).objective_at = at(9.0);
+    server_mut(&mut limiter, 0).health.unanswered_since = at(0.5);
+    let mut run_at = |seconds| {
+        let mut actions = RecordedActions::default();
+        limiter.process(at(seconds), &EventBatch::default(), &mut actions);
+        let failures = server_mut(&mut limiter, 0).health.consecutive_failures;
+        (
+            actions.lines.iter().any(|line| line.starts_with("cancel")),
+            failures,
+        )
+    };
+    assert_eq!(run_at(1.05), (false, 0), "on time");
+    assert_eq!(run_at(4.0), (false, 0), "late by seconds");
+    assert_eq!(run_at(4.1), (true, 1), "the next one");
+}
