Hold-ups are counted and logged; the campaign says what it saw of a time told in excess

Why: "time advertised to servers: more than request X had left" could not be told apart: a limiter that was held up, an accept queue that waited, or a client of the test that was itself late.

Change: HoldUpMonitor notices an event loop that runs over 20 ms late; /stats has hold_ups and longest_hold_up_ms, the log a line from 100 ms on. Nothing decides by it yet. The event log has when the kernel took a request's last byte, and the violation when it was sent, written and received and with what; MERLINREEL_TEST_LOGS names a folder that keeps the limiters' logs.

--- a/crates/merlinreel-testkit/src/checker.rs
+++ b/crates/merlinreel-testkit/src/checker.rs
@@ -7,7 +7,7 @@
 mod tests;
 mod violation;
 
-pub use violation::Violation;
+pub use violation::{AdvertisedTime, Violation};
 
 use crate::event_log::{LogEntry, RequestId};
 use fault_timeline::{FaultTimeline, Interval};
@@ -178,12 +178,22 @@
                 .push(Violation::AttemptAfterDisconnect(id.clone()));
         }
         let remaining = (request.sent_at + request.timeout).saturating_sub(attempt.received_at);
-        let is_excessive = attempt.advertised_time.is_some_and(|advertised| {
-            advertised > remaining + self.tolerances.advertised_time_excess
-        });
-        if is_undisturbed && is_excessive {
+        let excessive = attempt
+            .advertised_time
+            .filter(|&advertised| advertised > remaining + self.tolerances.advertised_time_excess);
+        if let Some(advertised) = excessive
+            && is_undisturbed
+        {
             self.violations
-                .push(Violation::ExcessiveAdvertisedTime(id.clone()));
+                .push(Violation::ExcessiveAdvertisedTime(AdvertisedTime {
+                    id: id.clone(),
+                    limiter: request.limiter,
+                    sent_at: request.sent_at,
+                    written_at: request.written_at,
+                    received_at: attempt.received_at,
+                    advertised,
+                    remaining,
+                }));
         }
         if let Some(announced) = self.timeline.drain_announced_at(link) {
             let since_announced = Interval {
--- a/crates/merlinreel-testkit/src/checker/request_history.rs
+++ b/crates/merlinreel-testkit/src/checker/request_history.rs
@@ -42,6 +42,8 @@
     pub limiter: usize,
     /// When it was sent.
     pub sent_at: Duration,
+    /// When the kernel had taken its last byte; `None` where the client never got to record it.
+    pub written_at: Option<Duration>,
     /// The deadline that the client gave it.
     pub timeout: Duration,
     /// Its responses; there should be one.
@@ -134,6 +136,7 @@
                     customer: *customer,
                     limiter: *limiter,
                     sent_at: at,
+                    written_at: None,
                     timeout: *timeout,
                     responses: Vec::new(),
                     client_gave_up: false,
@@ -147,7 +150,8 @@
             Event::AttemptCompleted { attempt } | Event::AttemptAborted { attempt } => {
                 self.end_attempt(*attempt, at, false);
             }
-            Event::ResponseReceived { id, .. }
+            Event::RequestWritten { id }
+            | Event::ResponseReceived { id, .. }
             | Event::NoResponse { id, .. }
             | Event::ClientDisconnected { id }
             | Event::AttemptReceived { id, .. } => self.update(id, at, event),
@@ -161,6 +165,7 @@
             return;
         };
         match event {
+            Event::RequestWritten { .. } => request.written_at = Some(at),
             Event::ResponseReceived { status, .. } => request.responses.push(Response {
                 at,
                 status: *status,
--- a/crates/merlinreel-testkit/src/checker/violation.rs
+++ b/crates/merlinreel-testkit/src/checker/violation.rs
@@ -2,6 +2,41 @@
 
 use crate::event_log::RequestId;
 use std::fmt;
+use std::time::Duration;
+
+/// An attempt with more time than its client had left, and what was observed of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdvertisedTime {
+    /// The request.
+    pub id: RequestId,
+    /// The number of its limiter.
+    pub limiter: usize,
+    /// When its client was about to write it.
+    pub sent_at: Duration,
+    /// When the kernel had taken its last byte.
+    pub written_at: Option<Duration>,
+    /// When the attempt's last byte arrived at its server.
+    pub received_at: Duration,
+    /// What the limiter advertised.
+    pub advertised: Duration,
+    /// What the client had left.
+    pub remaining: Duration,
+}
+
+impl fmt::Display for AdvertisedTime {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "limiter {}: sent at {:?}, written by {:?}, received by the server at {:?} with {:?} of {:?}",
+            self.limiter,
+            self.sent_at,
+            self.written_at,
+            self.received_at,
+            self.advertised,
+            self.remaining
+        )
+    }
+}
 
 /// A rule that a log violates, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,7 +57,7 @@
     /// An attempt began after its client had disconnected.
     AttemptAfterDisconnect(RequestId),
     /// More time than the client had left was advertised to a server.
-    ExcessiveAdvertisedTime(RequestId),
+    ExcessiveAdvertisedTime(AdvertisedTime),
     /// A non-idempotent request was retried, or rejected, after an attempt that may have run.
     DuplicateEffect(RequestId),
     /// Two attempts of one request were in flight at once.
@@ -66,9 +101,10 @@
             Violation::AttemptAfterDisconnect(id) => {
                 write!(f, "no attempt after the client disconnected: request {id}")
             }
-            Violation::ExcessiveAdvertisedTime(id) => write!(
+            Violation::ExcessiveAdvertisedTime(time) => write!(
                 f,
-                "time advertised to servers: more than request {id} had left"
+                "time advertised to servers: more than request {} had left ({time})",
+                time.id
             ),
             Violation::DuplicateEffect(id) => write!(
                 f,
--- a/crates/merlinreel-testkit/src/event_log.rs
+++ b/crates/merlinreel-testkit/src/event_log.rs
@@ -31,6 +31,11 @@
         /// The deadline that the client gave it.
         timeout: Duration,
     },
+    /// The kernel has taken the last byte of a request from its client.
+    RequestWritten {
+        /// The request.
+        id: RequestId,
+    },
     /// The client read a complete response.
     ResponseReceived {
         /// The request.
--- a/crates/merlinreel-testkit/src/lib.rs
+++ b/crates/merlinreel-testkit/src/lib.rs
@@ -25,7 +25,7 @@
 mod stub_discovery;
 mod stub_server;
 
-pub use checker::{QuotaBound, Tolerances, Violation, find_violations};
+pub use checker::{AdvertisedTime, QuotaBound, Tolerances, Violation, find_violations};
 pub use client::{Client, request};
 pub use cluster::Cluster;
 pub use config::{config, free_address, full_list, instance, list_changes};
--- a/crates/merlinreel-testkit/src/load_client.rs
+++ b/crates/merlinreel-testkit/src/load_client.rs
@@ -106,6 +106,9 @@
             .collect();
         let texts: String = requests.iter().map(|(_, text)| text.as_str()).collect();
         client.send(&texts);
+        for (id, _) in &requests {
+            log.record(Event::RequestWritten { id: id.clone() });
+        }
         let mut stays_open = true;
         for (id, _) in requests {
             let response = client.receive().filter(|_| stays_open);
@@ -137,6 +140,7 @@
     ) {
         let (id, text) = self.compose(sequence, log);
         client.send(&text);
+        log.record(Event::RequestWritten { id: id.clone() });
         thread::sleep(after);
         drop(client);
         log.record(Event::ClientDisconnected { id });
--- a/crates/merlinreel-testkit/src/process.rs
+++ b/crates/merlinreel-testkit/src/process.rs
@@ -4,6 +4,7 @@
 use crate::client::Client;
 use command_fds::{CommandFdExt, FdMapping};
 use serde_json::Value;
+use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -30,6 +31,15 @@
     )
 }
 
+/// The file that takes the log of the program at `address`, in the folder that `MERLINREEL_TEST_LOGS` names; none where it
+/// names none. A process that is restarted appends.
+fn log_file(address: &str) -> Option<File> {
+    let folder = std::env::var_os("MERLINREEL_TEST_LOGS")?;
+    let path = PathBuf::from(folder).join(format!("{}-{address}.log", std::process::id()));
+    let file = File::options().create(true).append(true).open(path);
+    Some(file.expect("a folder that can be written to"))
+}
+
 /// How a process exited.
 #[derive(Debug)]
 pub struct ExitReport {
@@ -52,7 +62,7 @@
     /// Writes the configuration's file and spawns the process. A listener is passed as [`LISTENER_FD`], which
     /// `PROXY_LISTEN_FD` names.
     fn spawn(config: &Value, listener: Option<&TcpListener>) -> (Child, PathBuf) {
-        let port = config["listen"]
+        let port = &config["listen"]
             .as_str()
             .unwrap_or("none")
             .replace([':', '.'], "-");
@@ -63,7 +73,7 @@
         command
             .env_clear()
             .env("PROXY_CONFIG", &path)
-            .stderr(Stdio::piped())
+            .stderr(log_file(port).map_or_else(Stdio::piped, Stdio::from))
             .stdout(Stdio::null());
         if let Some(listener) = listener {
             let mapping = FdMapping {
--- a/crates/merlinreel/src/event_loop.rs
+++ b/crates/merlinreel/src/event_loop.rs
@@ -9,6 +9,7 @@
 
 pub use clock::Clock;
 
+use crate::hold_up::HoldUpMonitor;
 use crate::log;
 use crate::messages::{ActiveSettings, ClientResponse, Event, IncomingRequest};
 use crate::peers::PeerSender;
@@ -30,6 +31,7 @@
 pub struct EventLoop {
     limiter: Limiter,
     metrics: Arc<Metrics>,
+    hold_ups: Arc<HoldUpMonitor>,
     /// Passes reloaded settings on to the client listener.
     settings_sender: Option<watch::Sender<Arc<ActiveSettings>>>,
     executor: ActionExecutor,
@@ -47,11 +49,13 @@
         peer_sender: Option<PeerSender>,
         clock: Clock,
         metrics: Arc<Metrics>,
+        hold_ups: Arc<HoldUpMonitor>,
     ) -> EventLoop {
         let limits = upstreams.limits().event_loop.clone();
         EventLoop {
             limiter,
             metrics,
+            hold_ups,
             settings_sender: None,
             max_requests: limits.max_requests,
             batch_size: limits.batch_size,
@@ -85,6 +89,7 @@
         tokio::pin!(timer);
         loop {
             let wake_at = self.executor.wake_at;
+            self.hold_ups.set_next_due(wake_at);
             if let Some(at) = wake_at {
                 timer.as_mut().reset(at.into());
             }
@@ -103,6 +108,7 @@
     fn process_events(&mut self, events: &mut Vec<Event>) {
         let mut batch = EventBatch::default();
         self.executor.now = Instant::now();
+        self.hold_ups.record_run(self.executor.now);
         for event in events.drain(..) {
             self.add_event(event, &mut batch);
         }
--- /dev/null
+++ b/crates/merlinreel/src/hold_up/tests.rs
@@ -0,0 +1,68 @@
+use super::*;
+use test_case::test_case;
+
+const TICK: Duration = Duration::from_millis(100);
+
+/// A monitor whose event loop ran at `start` and is due a tick later.
+fn monitor() -> (Arc<HoldUpMonitor>, Instant) {
+    let monitor = HoldUpMonitor::new(Metrics::new(&[]));
+    let start = Instant::now();
+    monitor.record_run(start);
+    monitor.set_next_due(Some(start + TICK));
+    (monitor, start)
+}
+
+/// Guards against requests whose time is counted from when a late limiter read them.
+#[test_case(50 => 50 ; "before the next run")]
+#[test_case(115 => 115 ; "a little late, as timers are")]
+#[test_case(121 => 0 ; "late: since the last run")]
+#[test_case(2000 => 0 ; "late by seconds")]
+fn bytes_may_have_arrived_since_the_last_run_of_a_late_event_loop(read_at: u64) -> u128 {
+    let (monitor, start) = monitor();
+    let read_at = start + Duration::from_millis(read_at);
+    (monitor.arrived_since(read_at) - start).as_millis()
+}
+
+/// Guards against a hold-up that is forgotten once the event loop has run, before the sockets are read.
+#[test_case(0 => 0 ; "in the same moment")]
+#[test_case(20 => 0 ; "while the sockets are read")]
+#[test_case(21 => 621 ; "after that")]
+fn hold_up_counts_while_the_sockets_are_read(read_after: u64) -> u128 {
+    let (monitor, start) = monitor();
+    let noticed_at = start + Duration::from_millis(600);
+    monitor.record_run(noticed_at);
+    monitor.set_next_due(Some(noticed_at + TICK));
+    let read_at = noticed_at + Duration::from_millis(read_after);
+    (monitor.arrived_since(read_at) - start).as_millis()
+}
+
+/// Guards against a second hold-up right behind the first one that hides it.
+#[test]
+fn hold_ups_that_follow_one_another_count_as_one() {
+    let (monitor, start) = monitor();
+    let after = |ms| start + Duration::from_millis(ms);
+    monitor.record_run(after(600));
+    monitor.set_next_due(Some(after(601)));
+    monitor.record_run(after(620));
+    monitor.set_next_due(Some(after(621)));
+    monitor.record_run(after(900));
+    assert_eq!(monitor.arrived_since(after(900)), after(620));
+}
+
+/// Guards against hold-ups that an operator can't see.
+#[test]
+fn hold_ups_are_counted() {
+    let metrics = Metrics::new(&[]);
+    let monitor = HoldUpMonitor::new(metrics.clone());
+    let start = Instant::now();
+    for (due, run) in [(10, 405), (500, 505)] {
+        monitor.set_next_due(Some(start + Duration::from_millis(due)));
+        monitor.record_run(start + Duration::from_millis(run));
+    }
+    let text = metrics.render(0);
+    assert!(text.contains("limiter.hold_ups:1|c\n"), "{text}");
+    assert!(
+        text.contains("limiter.longest_hold_up_ms:395|g\n"),
+        "{text}"
+    );
+}
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod endpoints;
 pub mod event_loop;
+pub mod hold_up;
 pub mod mesh;
 pub mod messages;
 pub mod net;
@@ -23,6 +24,7 @@
 use client::ClientListener;
 use config::GatewayConfig;
 use event_loop::{Clock, EventLoop};
+use hold_up::HoldUpMonitor;
 use mesh::MeshTasks;
 use messages::{ActiveSettings, Queue};
 use net::late_deadline::timeout_caught_up;
@@ -59,7 +61,8 @@
     let (settings_sender, active_settings) = ActiveSettings::channel(&config.settings);
     let cached_endpoints = config.cached_endpoints.take();
     let cached_version = cached_endpoints.as_ref().map(|update| update.version);
-    let event_loop = new_event_loop(&config, &sockets, clock, &queue, &metrics)
+    let hold_ups = HoldUpMonitor::new(metrics.clone());
+    let event_loop = new_event_loop(&config, &sockets, clock, &queue, &metrics, &hold_ups)
         .with_settings_sender(settings_sender);
     let mut event_loop = tokio::spawn(event_loop.run(cached_endpoints, events));
 
@@ -96,6 +99,7 @@
     clock: Clock,
     queue: &Queue,
     metrics: &Arc<Metrics>,
+    hold_ups: &Arc<HoldUpMonitor>,
 ) -> EventLoop {
     let upstreams = UpstreamPool::new(
         config.limits.clone(),
@@ -105,7 +109,14 @@
     );
     let limiter = config.settings.limiter(config.seed);
     let peer_sender = sockets.peer_sender.clone();
-    EventLoop::new(limiter, upstreams, peer_sender, clock, metrics.clone())
+    EventLoop::new(
+        limiter,
+        upstreams,
+        peer_sender,
+        clock,
+        metrics.clone(),
+        hold_ups.clone(),
+    )
 }
 
 /// Serves clients from the first endpoint list on. The agent's present list applies to the first request already, as servers
--- a/crates/merlinreel/src/telemetry/metrics.rs
+++ b/crates/merlinreel/src/telemetry/metrics.rs
@@ -11,6 +11,8 @@
 //! limiter.servers_excluded:1|g         (of those, draining or ejected now)
 //! limiter.reloads_ok:2|c
 //! limiter.reloads_failed:1|c
+//! limiter.hold_ups:3|c                 (the event loop ran over 20 ms late)
+//! limiter.longest_hold_up_ms:180|g     (since start)
 //! ```
 
 use crate::sync::lock;
@@ -19,6 +21,7 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// How a request ended, as its client reads the status of the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +85,8 @@
     pub servers_excluded: AtomicU64,
     reloads_ok: AtomicU64,
     reloads_failed: AtomicU64,
+    hold_ups: AtomicU64,
+    longest_hold_up_ms: AtomicU64,
 }
 
 /// The class of a request is the first segment of its path.
@@ -147,6 +152,13 @@
         count.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a hold-up: the event loop ran this late.
+    pub fn count_hold_up(&self, delay: Duration) {
+        self.hold_ups.fetch_add(1, Ordering::Relaxed);
+        self.longest_hold_up_ms
+            .fetch_max(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// The text of `/stats`, with the number of requests in flight that the caller knows.
     pub fn render(&self, in_flight: usize) -> String {
         let mut text = String::new();
@@ -173,6 +185,8 @@
             ("servers_excluded", &self.servers_excluded, "g"),
             ("reloads_ok", &self.reloads_ok, "c"),
             ("reloads_failed", &self.reloads_failed, "c"),
+            ("hold_ups", &self.hold_ups, "c"),
+            ("longest_hold_up_ms", &self.longest_hold_up_ms, "g"),
         ];
         for (name, metric, kind) in metrics {
             let _ = writeln!(
--- a/crates/merlinreel/src/telemetry/metrics/tests.rs
+++ b/crates/merlinreel/src/telemetry/metrics/tests.rs
@@ -60,6 +60,8 @@
         limiter.servers_known:10|g\n\
         limiter.servers_excluded:6|g\n\
         limiter.reloads_ok:1|c\n\
-        limiter.reloads_failed:1|c\n"
+        limiter.reloads_failed:1|c\n\
+        limiter.hold_ups:0|c\n\
+        limiter.longest_hold_up_ms:0|g\n"
     );
 }
