Client time runs from before a hold-up, not from when a late limiter reads the request

Cause: the time ran from the read. Bytes that lay in the sockets meanwhile had no time of arrival.

Change: HoldUpMonitor gives the earliest time at which bytes that are read now can have arrived: now, or, while the event loop is over 20 ms late and for 20 ms behind that, when it ran last. The stream records arrivals by it. No system call is added, and nothing for a limiter that is on time.

Seen failing before: time_in_which_a_request_lay_unread_* (open and new connection), *_pipelined_requests_*, each 1.494 s told; request_whose_time_was_over_* 200 in place of a rejection. The calm cases pass before and after.

--- a/crates/merlinreel/src/client/listener.rs
+++ b/crates/merlinreel/src/client/listener.rs
@@ -3,6 +3,7 @@
 use super::connection::ClientConnection;
 use crate::admission::AdmissionPermits;
 use crate::config::limits::Limits;
+use crate::hold_up::HoldUpMonitor;
 use crate::messages::{ActiveSettings, Queue};
 use crate::telemetry::metrics::Metrics;
 use std::collections::HashMap;
@@ -31,6 +32,7 @@
     pub(super) permits: AdmissionPermits,
     pub(super) client_connections: Mutex<HashMap<u64, Arc<ClientConnection>>>,
     pub(super) metrics: Arc<Metrics>,
+    pub(super) hold_ups: Arc<HoldUpMonitor>,
 }
 
 impl ClientListener {
@@ -40,9 +42,11 @@
         active_settings: watch::Receiver<Arc<ActiveSettings>>,
         queue: Queue,
         metrics: Arc<Metrics>,
+        hold_ups: Arc<HoldUpMonitor>,
     ) -> Arc<ClientListener> {
         Arc::new(ClientListener {
             metrics,
+            hold_ups,
             permits: AdmissionPermits::new(&limits),
             limits,
             active_settings,
--- a/crates/merlinreel/src/client/serving.rs
+++ b/crates/merlinreel/src/client/serving.rs
@@ -46,6 +46,7 @@
             client_connection.clone(),
             &self.limits,
             self.permits.clone(),
+            self.hold_ups.clone(),
         ));
         while let Some(mut idle) = self.serve_until_idle(stream, &client_connection).await {
             // The kernel is asked last: what arrived since the poller looked must not be cut off.
--- a/crates/merlinreel/src/client/stream.rs
+++ b/crates/merlinreel/src/client/stream.rs
@@ -8,6 +8,7 @@
 use super::framing::HeadScanner;
 use crate::admission::AdmissionPermits;
 use crate::config::limits::Limits;
+use crate::hold_up::HoldUpMonitor;
 use crate::net::observed_stream::{IoObserver, ObservedStream};
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, IoSlice};
@@ -42,6 +43,7 @@
     /// So many bytes of the buffer the library had asked for itself; only those after them were read ahead.
     requested: usize,
     arrival_times: ArrivalTimes,
+    hold_ups: Arc<HoldUpMonitor>,
     /// Bytes that may be read ahead.
     max_read_ahead: usize,
     /// Bytes of them that take no memory from that of request bodies.
@@ -64,6 +66,7 @@
         client_connection: Arc<ClientConnection>,
         limits: &Limits,
         permits: AdmissionPermits,
+        hold_ups: Arc<HoldUpMonitor>,
     ) -> ClientStream {
         ClientStream {
             stream: ObservedStream::new(stream, client_connection.clone()),
@@ -72,6 +75,7 @@
             buffer: BytesMut::new(),
             requested: 0,
             arrival_times: ArrivalTimes::default(),
+            hold_ups,
             max_read_ahead: limits.client.max_read_ahead_bytes,
             unreserved_read_ahead: limits.max_head_bytes,
             permits,
@@ -121,6 +125,11 @@
         }
     }
 
+    /// The earliest time at which bytes that are read now can have arrived. Their clients' time counts from then.
+    fn arrived_since(&self) -> Instant {
+        self.hold_ups.arrived_since(Instant::now())
+    }
+
     fn publish_buffered(&self) {
         self.client_connection
             .buffered_bytes
@@ -178,7 +187,7 @@
                     .overflowed
                     .store(true, Ordering::Relaxed);
             } else {
-                self.arrival_times.record(bytes.len(), Instant::now());
+                self.arrival_times.record(bytes.len(), self.arrived_since());
                 self.buffer.extend_from_slice(bytes);
                 self.publish_buffered();
             }
@@ -193,7 +202,7 @@
         let arrived_at = self.arrival_times.take(section.length);
         if let Some(head) = section.head {
             self.client_connection
-                .record_head(head, arrived_at.unwrap_or_else(Instant::now));
+                .record_head(head, arrived_at.unwrap_or_else(|| self.arrived_since()));
         }
         self.client_connection
             .delivered_bytes
@@ -220,8 +229,9 @@
 
     /// Keeps what the kernel gave after one section, from `start` on.
     fn buffer_excess(&mut self, into: &mut ReadBuf, start: usize) {
+        let arrived_since = self.arrived_since();
         self.arrival_times
-            .record(into.filled().len() - start, Instant::now());
+            .record(into.filled().len() - start, arrived_since);
         let length = self.scan_section(&into.filled()[start..]);
         self.buffer
             .extend_from_slice(&into.filled()[start + length..]);
--- a/crates/merlinreel/src/client/tests.rs
+++ b/crates/merlinreel/src/client/tests.rs
@@ -7,6 +7,7 @@
 use super::ClientListener;
 use super::connection::{ClientConnection, ConnectionTimes};
 use crate::config::limits::Limits;
+use crate::hold_up::HoldUpMonitor;
 use crate::messages::{ActiveSettings, Event};
 use crate::sync::lock;
 use crate::telemetry::metrics::Metrics;
@@ -90,7 +91,9 @@
 ) -> (Arc<ClientListener>, mpsc::Receiver<Event>) {
     let (queue, events) = mpsc::channel(64);
     let active_settings = watch::channel(Arc::new(ActiveSettings::first(settings))).1;
-    let client_listener = ClientListener::new(limits, active_settings, queue, Metrics::new(&[]));
+    let metrics = Metrics::new(&[]);
+    let hold_ups = HoldUpMonitor::new(metrics.clone());
+    let client_listener = ClientListener::new(limits, active_settings, queue, metrics, hold_ups);
     (client_listener, events)
 }
 
--- a/crates/merlinreel/src/client/tests/reading.rs
+++ b/crates/merlinreel/src/client/tests/reading.rs
@@ -82,6 +82,7 @@
         client_connection.clone(),
         &limits(),
         AdmissionPermits::new(&limits()),
+        HoldUpMonitor::new(Metrics::new(&[])),
     );
     let mut into = [0; 8192];
     for (section, content_length) in [(FIRST, true), (SECOND, false), (THIRD, false)] {
@@ -124,6 +125,7 @@
         client_connection.clone(),
         &limits,
         AdmissionPermits::new(&limits),
+        HoldUpMonitor::new(Metrics::new(&[])),
     );
     let length = client_stream.read(&mut [0; 8192]).await.expect("read");
     assert_eq!(length, 2);
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -73,7 +73,8 @@
     sockets.log_address(&config);
     let limits = config.limits.clone();
     let first_list = timeout_caught_up(limits.endpoints.first_list_timeout, first_list);
-    let client_listener = ClientListener::new(limits, active_settings, queue, metrics.clone());
+    let client_listener =
+        ClientListener::new(limits, active_settings, queue, metrics.clone(), hold_ups);
     let mesh_tasks = join_mesh(&config, &client_listener).await?;
     let status = GatewayStatus {
         client_listener: client_listener.clone(),
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program as it runs: started by its configuration, spoken to over sockets.
 
+mod advertised_time;
 mod client_disconnects;
 mod endpoint_draining;
 mod fault_campaign;
