/stats says why requests were rejected

Change: the policy gives a RejectReason with each rejection; /stats has limiter.rejected.REASON for its four and for the two limits that the network code holds. No line of the log and nothing else on the path of a request.

--- a/crates/merlinreel-policy/src/actions.rs
+++ b/crates/merlinreel-policy/src/actions.rs
@@ -1,6 +1,7 @@
 //! What goes out: the decisions, through a trait that the caller implements.
 
 use crate::model::index::{RequestIndex, ServerIndex};
+use crate::model::reject_reason::RejectReason;
 use std::time::Duration;
 
 /// Receives the decisions of a batch, in the order in which they are to be carried out.
@@ -13,8 +14,13 @@
         server: ServerIndex,
         within: Option<Duration>,
     );
-    /// Rejects the request; the client may retry, after the given time where there is one.
-    fn reject(&mut self, request: RequestIndex, retry_after: Option<Duration>);
+    /// Rejects the request for that reason; the client may retry, after the given time where there is one.
+    fn reject(
+        &mut self,
+        request: RequestIndex,
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+    );
     /// Fails the request; the client must not retry as if it never ran.
     fn fail(&mut self, request: RequestIndex);
     /// Cancels the attempt with this number among the request's attempts.
--- a/crates/merlinreel-policy/src/lib.rs
+++ b/crates/merlinreel-policy/src/lib.rs
@@ -48,6 +48,7 @@
 pub use model::index::{Index, RequestIndex, ServerIndex};
 pub use model::limiter_config::LimiterConfig;
 pub use model::plan::Plan;
+pub use model::reject_reason::RejectReason;
 pub use model::request::{Request, RequestLimits};
 pub use model::request_class::{Idempotency, IdempotencyScope, RequestClass};
 pub use server::pool::EndpointCounts;
--- a/crates/merlinreel-policy/src/model.rs
+++ b/crates/merlinreel-policy/src/model.rs
@@ -8,5 +8,6 @@
 pub mod index;
 pub mod limiter_config;
 pub mod plan;
+pub mod reject_reason;
 pub mod request;
 pub mod request_class;
--- a/crates/merlinreel-policy/src/request/admission.rs
+++ b/crates/merlinreel-policy/src/request/admission.rs
@@ -6,6 +6,7 @@
 use crate::model::fleet::FleetConfig;
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::plan::Plan;
+use crate::model::reject_reason::RejectReason;
 use crate::model::request::Request;
 use crate::quota::account::Account;
 use crate::quota::account_parts::LimiterSet;
@@ -86,8 +87,14 @@
             account.replication.update_due.current = true;
             let wait_seconds = account.retry_after_seconds(now, plan, request.units);
             let retry_after = config.request_limits.retry_after;
+            let reason = if earns_enough {
+                RejectReason::Quota
+            } else {
+                RejectReason::LateArrival
+            };
             actions.reject(
                 request.id,
+                reason,
                 retry_after.then(|| time::from_seconds(wait_seconds)),
             );
             return;
--- a/crates/merlinreel-policy/src/request/completion.rs
+++ b/crates/merlinreel-policy/src/request/completion.rs
@@ -5,6 +5,7 @@
 use crate::model::attempt::AttemptResult;
 use crate::model::index::RequestIndex;
 use crate::model::limiter_config::LimiterConfig;
+use crate::model::reject_reason::RejectReason;
 use crate::model::request::RequestLimits;
 use crate::quota::table::QuotaTable;
 use crate::request_table::RequestTable;
@@ -119,8 +120,14 @@
         let window = quotas[pending.account].bucket.window;
         let wait_seconds = window.end_seconds(plan) - time::seconds(now);
         let retry_after = config.request_limits.retry_after;
+        let reason = if pending.attempts.is_empty() {
+            RejectReason::NoServerInTime
+        } else {
+            RejectReason::AttemptsFailed
+        };
         actions.reject(
             request,
+            reason,
             retry_after.then(|| time::from_seconds(wait_seconds)),
         );
     } else {
--- a/crates/merlinreel-policy/src/server/tests/starting_server.rs
+++ b/crates/merlinreel-policy/src/server/tests/starting_server.rs
@@ -10,6 +10,7 @@
 use crate::model::index::{RequestIndex, ServerIndex};
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::plan::Plan;
+use crate::model::reject_reason::RejectReason;
 use crate::model::request::{Request, RequestLimits};
 use crate::model::request_class::Idempotency;
 use crate::tests::helpers::*;
@@ -62,7 +63,7 @@
     fn send_peer_message(&mut self, limiter: u32, peer_message: &[u8]) {
         self.peer_messages.push((limiter, peer_message.to_vec()));
     }
-    fn reject(&mut self, _: RequestIndex, _: Option<Duration>) {}
+    fn reject(&mut self, _: RequestIndex, _: RejectReason, _: Option<Duration>) {}
     fn fail(&mut self, _: RequestIndex) {}
     fn cancel_attempt(&mut self, _: RequestIndex, _: u32) {}
     fn start_health_check(&mut self, _: ServerIndex) {}
--- a/crates/merlinreel-policy/src/tests/helpers.rs
+++ b/crates/merlinreel-policy/src/tests/helpers.rs
@@ -9,6 +9,7 @@
 use crate::model::index::{RequestIndex, ServerIndex};
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::plan::Plan;
+use crate::model::reject_reason::RejectReason;
 use crate::model::request::{Request, RequestLimits};
 use crate::model::request_class::{Idempotency, RequestClass};
 use crate::peer_batch::{self, BatchHeader, CounterRow};
@@ -29,6 +30,7 @@
 #[derive(Default)]
 pub struct RecordedActions {
     pub lines: Vec<String>,
+    pub reject_reasons: Vec<RejectReason>,
     pub peer_messages: Vec<(u32, Vec<u8>)>,
 }
 
@@ -62,7 +64,13 @@
         });
         self.add(format!("attempt {request} at {server}{within}"));
     }
-    fn reject(&mut self, request: RequestIndex, retry_after: Option<Duration>) {
+    fn reject(
+        &mut self,
+        request: RequestIndex,
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+    ) {
+        self.reject_reasons.push(reason);
         self.add(format!(
             "reject {request} {:.1}",
             retry_after.map_or(0.0, time::seconds)
--- a/crates/merlinreel-simulator-adapter/src/actions.rs
+++ b/crates/merlinreel-simulator-adapter/src/actions.rs
@@ -4,7 +4,7 @@
 use crate::name_table::NameTable;
 use crate::protocol::{WAKEUP_TIMER, action};
 use crate::request_table::RequestTable;
-use merlinreel_policy::{Actions, RequestIndex, ServerIndex};
+use merlinreel_policy::{Actions, RejectReason, RequestIndex, ServerIndex};
 use std::fmt::Arguments;
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -47,7 +47,7 @@
         self.requests.start_attempt(request);
     }
 
-    fn reject(&mut self, request: RequestIndex, retry_after: Option<Duration>) {
+    fn reject(&mut self, request: RequestIndex, _: RejectReason, retry_after: Option<Duration>) {
         let seconds = retry_after.unwrap_or_default().as_secs_f64();
         let _ = writeln!(
             self.output,
--- a/crates/merlinreel-simulator-adapter/src/actions/tests.rs
+++ b/crates/merlinreel-simulator-adapter/src/actions/tests.rs
@@ -23,8 +23,12 @@
         ServerIndex(0),
         Some(Duration::from_secs(3)),
     );
-    actions.reject(RequestIndex(1), Some(Duration::from_micros(1_250_001)));
-    actions.reject(RequestIndex(2), None);
+    actions.reject(
+        RequestIndex(1),
+        RejectReason::Quota,
+        Some(Duration::from_micros(1_250_001)),
+    );
+    actions.reject(RequestIndex(2), RejectReason::Quota, None);
     actions.fail(RequestIndex(0));
     actions.cancel_attempt(RequestIndex(0), 1);
     actions.start_health_check(ServerIndex(0));
--- a/crates/merlinreel-testkit/src/scale/simulated.rs
+++ b/crates/merlinreel-testkit/src/scale/simulated.rs
@@ -2,7 +2,7 @@
 //! a simulated clock.
 
 use merlinreel_policy::{
-    Actions, AttemptOutcome, AttemptResult, LoadReport, RequestIndex, ServerIndex,
+    Actions, AttemptOutcome, AttemptResult, LoadReport, RejectReason, RequestIndex, ServerIndex,
 };
 use merlinreel_settings::{Settings, SettingsTree};
 use serde_json::Value;
@@ -71,7 +71,7 @@
     fn start_attempt(&mut self, _: RequestIndex, server: ServerIndex, _: Option<Duration>) {
         self.0.attempt_started(server);
     }
-    fn reject(&mut self, request: RequestIndex, _: Option<Duration>) {
+    fn reject(&mut self, request: RequestIndex, _: RejectReason, _: Option<Duration>) {
         self.0.request_rejected(request);
     }
     fn fail(&mut self, _: RequestIndex) {
--- a/crates/merlinreel/src/client/request_reader.rs
+++ b/crates/merlinreel/src/client/request_reader.rs
@@ -69,6 +69,7 @@
         }
         let in_flight = InFlightGuard::new(self, client_connection);
         if in_flight.preceding >= self.limits.client.max_served_connections {
+            self.metrics.count_excess_connection();
             return respond_too_many(client_connection).map(Either::Left);
         }
         // A shutdown has a deadline of its own: late requests are answered by then.
--- a/crates/merlinreel/src/event_loop.rs
+++ b/crates/merlinreel/src/event_loop.rs
@@ -54,12 +54,18 @@
         let limits = upstreams.limits().event_loop.clone();
         EventLoop {
             limiter,
-            metrics,
             hold_ups,
             settings_sender: None,
             max_requests: limits.max_requests,
             batch_size: limits.batch_size,
-            executor: ActionExecutor::new(clock, upstreams, peer_sender, limits.response_margin),
+            executor: ActionExecutor::new(
+                clock,
+                upstreams,
+                peer_sender,
+                limits.response_margin,
+                metrics.clone(),
+            ),
+            metrics,
         }
     }
 
@@ -142,6 +148,7 @@
     /// Adds a request to the batch, or rejects it where the maximum is in flight.
     fn add_request(&mut self, incoming: IncomingRequest, batch: &mut EventBatch) {
         if self.executor.requests.waiting() >= self.max_requests {
+            self.metrics.count_excess_request();
             // No server has seen it: a retry is harmless.
             let _ = incoming
                 .response_sender
--- a/crates/merlinreel/src/event_loop/action_executor.rs
+++ b/crates/merlinreel/src/event_loop/action_executor.rs
@@ -5,10 +5,12 @@
 use crate::log;
 use crate::messages::{AttemptCompletion, AttemptId, ClientResponse};
 use crate::peers::PeerSender;
+use crate::telemetry::metrics::Metrics;
 use crate::upstream::{Attempt, ConnectionHandle, UpstreamPool};
 use merlinreel_policy::{Actions, AttemptOutcome, AttemptResult, LoadReport};
-use merlinreel_policy::{RequestIndex, ServerIndex};
+use merlinreel_policy::{RejectReason, RequestIndex, ServerIndex};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Everything that actions need.
@@ -31,6 +33,8 @@
     pub not_sent: Vec<AttemptResult>,
     /// Indices of requests that may be finished at the end of the batch.
     pub maybe_finished: Vec<RequestIndex>,
+    /// Counts rejections.
+    pub metrics: Arc<Metrics>,
     /// When the policy wants to be called again.
     pub wake_at: Option<Instant>,
     /// The time of the present batch.
@@ -44,6 +48,7 @@
         upstreams: UpstreamPool,
         peer_sender: Option<PeerSender>,
         response_margin: Duration,
+        metrics: Arc<Metrics>,
     ) -> ActionExecutor {
         ActionExecutor {
             clock,
@@ -55,6 +60,7 @@
             last_attempt_id: AttemptId::default(),
             not_sent: Vec::new(),
             maybe_finished: Vec::new(),
+            metrics,
             wake_at: None,
             now: Instant::now(),
         }
@@ -208,7 +214,13 @@
         }
     }
 
-    fn reject(&mut self, request: RequestIndex, retry_after: Option<Duration>) {
+    fn reject(
+        &mut self,
+        request: RequestIndex,
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+    ) {
+        self.metrics.count_rejection(reason);
         self.send_response(request, ClientResponse::Rejected(retry_after));
     }
 
--- a/crates/merlinreel/src/event_loop/tests.rs
+++ b/crates/merlinreel/src/event_loop/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::messages::{AttemptCompletion, AttemptId, Queue, UpstreamRequest};
-use merlinreel_policy::RequestIndex;
 use merlinreel_policy::{Actions, AttemptOutcome, LoadReport};
+use merlinreel_policy::{RejectReason, RequestIndex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 
@@ -127,7 +127,9 @@
     let (first, mut first_response) = incoming_request(1);
     event_loop.process_events(&mut vec![first]);
     event_loop.executor.fail(RequestIndex(0));
-    event_loop.executor.reject(RequestIndex(0), None);
+    event_loop
+        .executor
+        .reject(RequestIndex(0), RejectReason::Quota, None);
     assert!(matches!(
         first_response.try_recv(),
         Ok(ClientResponse::Failed)
--- a/crates/merlinreel/src/telemetry/metrics.rs
+++ b/crates/merlinreel/src/telemetry/metrics.rs
@@ -6,6 +6,7 @@
 //! ```text
 //! limiter.requests.C.served:812|c      (also refused, failed, attempts; C a class of the settings in force)
 //! limiter.attempts:900|c               (attempts completely written to servers)
+//! limiter.rejected.quota:3|c           (also late_arrival, no_server_in_time, attempts_failed, too_many_in_flight, too_many_connections)
 //! limiter.in_flight:14|g               (requests in flight)
 //! limiter.servers_known:10|g           (servers listed and not removed)
 //! limiter.servers_excluded:1|g         (of those, draining or ejected now)
@@ -17,6 +18,7 @@
 
 use crate::sync::lock;
 use hyper::StatusCode;
+use merlinreel_policy::RejectReason;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -85,10 +87,44 @@
     pub servers_excluded: AtomicU64,
     reloads_ok: AtomicU64,
     reloads_failed: AtomicU64,
+    rejections: RejectionCounts,
     hold_ups: AtomicU64,
     longest_hold_up_ms: AtomicU64,
 }
 
+/// Why requests were rejected: by the policy, or before it was asked.
+#[derive(Default)]
+struct RejectionCounts {
+    quota: AtomicU64,
+    late_arrival: AtomicU64,
+    no_server_in_time: AtomicU64,
+    attempts_failed: AtomicU64,
+    too_many_in_flight: AtomicU64,
+    too_many_connections: AtomicU64,
+}
+
+impl RejectionCounts {
+    fn of(&self, reason: RejectReason) -> &AtomicU64 {
+        match reason {
+            RejectReason::Quota => &self.quota,
+            RejectReason::LateArrival => &self.late_arrival,
+            RejectReason::NoServerInTime => &self.no_server_in_time,
+            RejectReason::AttemptsFailed => &self.attempts_failed,
+        }
+    }
+
+    fn named(&self) -> [(&'static str, &AtomicU64); 6] {
+        [
+            ("quota", &self.quota),
+            ("late_arrival", &self.late_arrival),
+            ("no_server_in_time", &self.no_server_in_time),
+            ("attempts_failed", &self.attempts_failed),
+            ("too_many_in_flight", &self.too_many_in_flight),
+            ("too_many_connections", &self.too_many_connections),
+        ]
+    }
+}
+
 /// The class of a request is the first segment of its path.
 pub fn class_of(path: &str) -> &str {
     path.trim_start_matches('/').split('/').next().unwrap_or("")
@@ -152,6 +188,25 @@
         count.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request that the policy rejected.
+    pub fn count_rejection(&self, reason: RejectReason) {
+        self.rejections.of(reason).fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request that was rejected as the maximum was in flight.
+    pub fn count_excess_request(&self) {
+        self.rejections
+            .too_many_in_flight
+            .fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request that was rejected as the maximum of connections was served.
+    pub fn count_excess_connection(&self) {
+        self.rejections
+            .too_many_connections
+            .fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Counts a hold-up: the event loop ran this late.
     pub fn count_hold_up(&self, delay: Duration) {
         self.hold_ups.fetch_add(1, Ordering::Relaxed);
@@ -178,6 +233,10 @@
                 );
             }
         }
+        for (reason, count) in self.rejections.named() {
+            let count = count.load(Ordering::Relaxed);
+            let _ = writeln!(text, "limiter.rejected.{reason}:{count}|c");
+        }
         let _ = writeln!(text, "limiter.in_flight:{in_flight}|g");
         let metrics = [
             ("attempts", &self.attempts, "c"),
--- a/crates/merlinreel/src/telemetry/metrics/tests.rs
+++ b/crates/merlinreel/src/telemetry/metrics/tests.rs
@@ -47,6 +47,10 @@
     metrics.count_attempt("look");
     metrics.count_reload(ReloadOutcome::Applied);
     metrics.count_reload(ReloadOutcome::Failed);
+    metrics.count_rejection(RejectReason::Quota);
+    metrics.count_rejection(RejectReason::Quota);
+    metrics.count_rejection(RejectReason::NoServerInTime);
+    metrics.count_excess_connection();
     metrics.servers_known.store(10, Ordering::Relaxed);
     metrics.servers_excluded.store(6, Ordering::Relaxed);
     assert_eq!(
@@ -55,6 +59,12 @@
         limiter.requests.look.refused:3|c\n\
         limiter.requests.look.failed:2|c\n\
         limiter.requests.look.attempts:1|c\n\
+        limiter.rejected.quota:2|c\n\
+        limiter.rejected.late_arrival:0|c\n\
+        limiter.rejected.no_server_in_time:1|c\n\
+        limiter.rejected.attempts_failed:0|c\n\
+        limiter.rejected.too_many_in_flight:0|c\n\
+        limiter.rejected.too_many_connections:1|c\n\
         limiter.in_flight:14|g\n\
         limiter.attempts:1|c\n\
         limiter.servers_known:10|g\n\
