Accept queue: a wait is counted from the last look that did not see the connection

What callers saw: nothing landed; counted a new connection's time from when the queue was known to be empty last.

Change: the kernel's table of sockets says how many connections wait on the listening socket; connections are accepted in order, so each came after the last look that did not see it. Looked at every 10 ms at most, only while connections wait.

--- a/crates/merlinreel/src/client/accept.rs
+++ b/crates/merlinreel/src/client/accept.rs
@@ -9,7 +9,7 @@
 use crate::sync::lock;
 use std::future::poll_fn;
 use std::io;
-use std::os::fd::AsFd;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
@@ -41,8 +41,9 @@
         connection_permits: &Arc<Semaphore>,
     ) {
         let mut backoff = Backoff::default();
+        let listening_at = listener.local_addr().ok();
         loop {
-            let Some(slot) = self.acquire_slot(listener, connection_permits).await else {
+            let Some(slot) = self.acquire_slot(listening_at, connection_permits).await else {
                 return;
             };
             // Unconstrained, as pending is to mean that nothing waits. The wait for a slot yields to other tasks.
@@ -75,8 +76,9 @@
     ) -> io::Result<()> {
         // The kernel itself is asked: the poller may not have reported the last ones yet.
         let listener = listener.into_std()?;
+        let listening_at = listener.local_addr().ok();
         let mut backoff = Backoff::default();
-        while let Some(slot) = self.acquire_slot(&listener, connection_permits).await {
+        while let Some(slot) = self.acquire_slot(listening_at, connection_permits).await {
             match listener.accept().and_then(|(stream, _)| register(stream)) {
                 Ok(stream) => {
                     backoff.reset();
@@ -109,12 +111,15 @@
     /// Waits for a slot for the next connection; `None` where the event loop has ended.
     async fn acquire_slot(
         &self,
-        listener: &impl AsFd,
+        listening_at: Option<SocketAddr>,
         connection_permits: &Arc<Semaphore>,
     ) -> Option<ConnectionSlot> {
         let connection_permit = loop {
             // Before the wait and during it, as idle connections must not keep all places.
             self.evict_idle();
+            if let Some(listening_at) = listening_at {
+                lock(&self.backlog).look(listening_at, Instant::now());
+            }
             match timeout(
                 self.limits.client.evict_idle_after,
                 connection_permits.clone().acquire_owned(),
@@ -123,7 +128,6 @@
             {
                 Ok(permit) => break permit.ok()?,
                 Err(_) => {
-                    lock(&self.backlog).look(listener);
                     log!(
                         "clients: all {} places are taken; new connections wait",
                         self.limits.client.max_connections
@@ -140,7 +144,7 @@
     /// Serves a connection in a task of its own.
     fn spawn_connection(self: &Arc<ClientListener>, stream: TcpStream, slot: ConnectionSlot) {
         let noticed_since = self.hold_ups.arrived_since(Instant::now());
-        let connected_since = lock(&self.backlog).connected_since(noticed_since);
+        let connected_since = lock(&self.backlog).accept(noticed_since);
         let client_connection = Arc::new(ClientConnection::new(slot.disconnect_event));
         let connection_permit = slot.connection_permit;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
--- a/crates/merlinreel/src/client/backlog.rs
+++ b/crates/merlinreel/src/client/backlog.rs
@@ -1,17 +1,34 @@
 //! Since when connections may have waited on the socket to be accepted. While all places are taken they wait in the
-//! kernel, which tells nobody when they came; so the time counts from when the queue was known to be empty last.
+//! kernel, which tells nobody when each came. It says how many wait; from that, looked at now and then, follows which of
+//! them came after which look.
 
-use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
-use std::os::fd::AsFd;
-use std::time::Instant;
+mod accept_queue;
+
+use accept_queue::queue_length;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Looks at the queue are this long apart at least.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// One look at the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Look {
+    at: Instant,
+    /// The number of the last connection that had come by then, counted from the first that was accepted.
+    last_connection: u64,
+}
 
 /// What is known of the connections that wait on the socket.
 #[derive(Debug)]
 pub struct Backlog {
     /// None waits, and the next one is noticed at once.
     is_awaited: bool,
-    /// None of those that wait came before.
-    empty_at: Instant,
+    /// Connections that were accepted.
+    accepted: u64,
+    /// The last look that all connections came after which are still to be accepted, and those behind it.
+    looks: VecDeque<Look>,
 }
 
 impl Backlog {
@@ -19,7 +36,11 @@
     pub fn new(since: Instant) -> Backlog {
         Backlog {
             is_awaited: false,
-            empty_at: since,
+            accepted: 0,
+            looks: VecDeque::from([Look {
+                at: since,
+                last_connection: 0,
+            }]),
         }
     }
 
@@ -28,22 +49,59 @@
         self.is_awaited = true;
     }
 
-    /// Asks the kernel whether anything waits. Nothing is learned where it can't say.
-    pub fn look(&mut self, listener: &impl AsFd) {
-        let now = Instant::now();
-        let mut listener = [PollFd::new(listener.as_fd(), PollFlags::POLLIN)];
-        if poll(&mut listener, PollTimeout::ZERO) == Ok(0) {
-            self.empty_at = now;
+    /// Looks at the queue of the socket at that address, unless that was done a moment ago. Nothing is learned where the system does not say how many wait.
+    pub fn look(&mut self, listening_at: SocketAddr, now: Instant) {
+        if self.is_awaited {
+            return self.stop_awaiting(now);
+        }
+        let is_due = self
+            .looks
+            .back()
+            .is_none_or(|last| now.saturating_duration_since(last.at) >= LOOK_INTERVAL);
+        if !is_due {
+            return;
+        }
+        if let Some(length) = queue_length(listening_at) {
+            self.record_look(now, length);
+        }
+    }
+
+    /// Connections are not noticed at once any more; none had come before `at`.
+    fn stop_awaiting(&mut self, at: Instant) {
+        self.is_awaited = false;
+        self.looks.clear();
+        self.record_look(at, 0);
+    }
+
+    /// Records that so many connections waited at `at`.
+    fn record_look(&mut self, at: Instant, waiting: u64) {
+        self.looks.push_back(Look {
+            at,
+            last_connection: self.accepted + waiting,
+        });
+        self.forget_superseded_looks();
+    }
+
+    /// Forgets looks that are followed by a later one which also came before the next connection.
+    fn forget_superseded_looks(&mut self) {
+        while self
+            .looks
+            .get(1)
+            .is_some_and(|second| second.last_connection <= self.accepted)
+        {
+            self.looks.pop_front();
         }
     }
 
-    /// The earliest time at which a connection that is accepted now can have come; `noticed_since` is that of one that
-    /// was noticed now.
-    pub fn connected_since(&mut self, noticed_since: Instant) -> Instant {
-        if std::mem::take(&mut self.is_awaited) {
-            self.empty_at = noticed_since;
+    /// Counts a connection that is accepted now. Returns the earliest time at which it can have come; `noticed_since` is that
+    /// of one that was noticed now.
+    pub fn accept(&mut self, noticed_since: Instant) -> Instant {
+        if self.is_awaited {
+            self.stop_awaiting(noticed_since);
         }
-        self.empty_at
+        self.forget_superseded_looks();
+        self.accepted += 1;
+        self.looks.front().map_or(noticed_since, |look| look.at)
     }
 }
 
--- a/crates/merlinreel/src/client/request_reader.rs
+++ b/crates/merlinreel/src/client/request_reader.rs
@@ -1,7 +1,7 @@
 //! Reads a complete request, passes it to the event loop, and responds to it.
 
 use super::body::BodyDeadline;
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, RequestArrival};
 use super::decode::{REQUEST_ID, decode};
 use super::framing::{self, ObservedHead};
 use super::in_flight::{DisconnectGuard, InFlightGuard};
@@ -31,14 +31,20 @@
     upstream_request: UpstreamRequest,
 }
 
+/// When the client of a request gives up, as far as is known.
+struct ClientDeadlines {
+    earliest: Instant,
+    latest: Instant,
+}
+
 impl ClientListener {
-    /// The response to a request. Its client's time runs from `sent_at`, when its head had arrived: the earliest time that
-    /// is known of it here.
+    /// The response to a request. Its client's time runs from the arrival of its head: the earliest time that is known of it
+    /// here.
     pub(super) async fn respond(
         &self,
         request: hyper::Request<Incoming>,
         head: ObservedHead,
-        sent_at: Instant,
+        arrival: RequestArrival,
         client_connection: &ClientConnection,
     ) -> Response<ResponseBody> {
         if let Err(error) = framing::check(request.headers(), head) {
@@ -56,7 +62,7 @@
         client_connection.mark_partial();
         let length = request.body().size_hint().exact();
         let read = self
-            .read_request(request, sent_at, request_due, client_connection)
+            .read_request(request, arrival, request_due, client_connection)
             .await;
         let complete = match read {
             Ok(complete) => complete,
@@ -73,11 +79,16 @@
             return respond_too_many(client_connection).map(Either::Left);
         }
         // A shutdown has a deadline of its own: late requests are answered by then.
-        let client_deadline = sent_at + complete.request.remaining_time;
-        let deadline = self
-            .shutdown_deadline()
-            .map_or(client_deadline, |deadline| client_deadline.min(deadline));
-        self.submit(complete, deadline, client_connection).await
+        let until_shutdown = |client_deadline: Instant| {
+            self.shutdown_deadline()
+                .map_or(client_deadline, |deadline| client_deadline.min(deadline))
+        };
+        let remaining_time = complete.request.remaining_time;
+        let deadlines = ClientDeadlines {
+            earliest: until_shutdown(arrival.earliest + remaining_time),
+            latest: until_shutdown(arrival.latest + remaining_time),
+        };
+        self.submit(complete, deadlines, client_connection).await
     }
 
     /// Whether requests are accepted: 200 or 503.
@@ -100,7 +111,7 @@
     async fn read_request(
         &self,
         request: hyper::Request<Incoming>,
-        sent_at: Instant,
+        arrival: RequestArrival,
         request_due: Instant,
         client_connection: &ClientConnection,
     ) -> Result<CompleteRequest, Response<Full<Bytes>>> {
@@ -117,7 +128,7 @@
             let allowed = head.method != Method::GET;
             let deadline = BodyDeadline {
                 request_due,
-                client_deadline: sent_at + request.remaining_time,
+                client_deadline: arrival.latest + request.remaining_time,
                 started: Instant::now(),
             };
             let buffered = self
@@ -142,7 +153,7 @@
     async fn submit(
         &self,
         complete: CompleteRequest,
-        deadline: Instant,
+        deadlines: ClientDeadlines,
         client_connection: &ClientConnection,
     ) -> Response<ResponseBody> {
         let request_id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -150,7 +161,8 @@
         let incoming = IncomingRequest {
             request_id,
             request: complete.request,
-            deadline,
+            deadline: deadlines.earliest,
+            latest_deadline: deadlines.latest,
             upstream_request: complete.upstream_request,
             response_sender,
         };
--- a/crates/merlinreel/src/client/serving.rs
+++ b/crates/merlinreel/src/client/serving.rs
@@ -30,6 +30,9 @@
 /// A client connection as the HTTP library reads and writes it.
 type HttpStream = TokioIo<ClientStream>;
 
+/// A connection that waited for less to be accepted was accepted at once.
+const MIN_COUNTED_WAIT: Duration = Duration::from_millis(5);
+
 /// Polls of a connection at once while it reads a body; other tasks run after these.
 const MAX_POLLS_AT_ONCE: usize = 32;
 
@@ -42,15 +45,16 @@
         client_connection: Arc<ClientConnection>,
     ) {
         let _ = stream.set_nodelay(true);
-        let mut stream = ClientStream::new(
+        let mut stream = TokioIo::new(ClientStream::new(
             stream,
             client_connection.clone(),
             &self.limits,
             self.permits.clone(),
             self.hold_ups.clone(),
-        );
-        stream.count_unread_from(connected_since);
-        let mut stream = TokioIo::new(stream);
+        ));
+        if connected_since.elapsed() > MIN_COUNTED_WAIT && stream.inner().has_unread() {
+            client_connection.record_unread_since(connected_since);
+        }
         while let Some(mut idle) = self.serve_until_idle(stream, &client_connection).await {
             // The kernel is asked last: what arrived since the poller looked must not be cut off.
             if !idle.inner().has_unread() {
@@ -135,13 +139,13 @@
         let client_listener = self.clone();
         let client_connection = client_connection.clone();
         let head = client_connection.last_head();
-        let head_arrived_at = client_connection.head_arrived_at();
+        let arrival = client_connection.take_arrival();
         client_connection.consume_delivered();
         async move {
             let class = class_of(request.uri().path()).to_owned();
             let counts = request.uri().path() != UP_PATH;
             let mut response = client_listener
-                .respond(request, head, head_arrived_at, &client_connection)
+                .respond(request, head, arrival, &client_connection)
                 .await;
             let outcome = ResponseOutcome::from_status(response.status());
             match response.body_mut() {
--- a/crates/merlinreel/src/client/stream.rs
+++ b/crates/merlinreel/src/client/stream.rs
@@ -24,8 +24,6 @@
 
 /// Bytes that are read ahead at once.
 const READ_AHEAD_BYTES: usize = 4096;
-/// A connection that waited for less to be accepted was accepted at once.
-const MIN_COUNTED_WAIT: Duration = Duration::from_millis(5);
 
 /// A close whose limiter's side has ended, and that waits for the client's side.
 struct LingeringClose {
@@ -46,8 +44,6 @@
     requested: usize,
     arrival_times: ArrivalTimes,
     hold_ups: Arc<HoldUpMonitor>,
-    /// What is read first was there already when the connection was accepted: it came then or later.
-    unread_since: Option<Instant>,
     /// Bytes that may be read ahead.
     max_read_ahead: usize,
     /// Bytes of them that take no memory from that of request bodies.
@@ -80,7 +76,6 @@
             requested: 0,
             arrival_times: ArrivalTimes::default(),
             hold_ups,
-            unread_since: None,
             max_read_ahead: limits.client.max_read_ahead_bytes,
             unreserved_read_ahead: limits.max_head_bytes,
             permits,
@@ -131,20 +126,8 @@
     }
 
     /// The earliest time at which bytes that are read now can have arrived. Their clients' time counts from then.
-    fn arrived_since(&mut self) -> Instant {
-        let noticed_since = self.hold_ups.arrived_since(Instant::now());
-        match self.unread_since.take() {
-            Some(unread_since) => unread_since.min(noticed_since),
-            None => noticed_since,
-        }
-    }
-
-    /// Counts what lies unread now as arrived at `connected_since`, when its connection may have come. A connection that was
-    /// accepted at once has nothing to count.
-    pub fn count_unread_from(&mut self, connected_since: Instant) {
-        if connected_since.elapsed() > MIN_COUNTED_WAIT && self.stream.has_unread() {
-            self.unread_since = Some(connected_since);
-        }
+    fn arrived_since(&self) -> Instant {
+        self.hold_ups.arrived_since(Instant::now())
     }
 
     fn publish_buffered(&self) {
--- a/crates/merlinreel/src/messages.rs
+++ b/crates/merlinreel/src/messages.rs
@@ -69,8 +69,11 @@
     pub request_id: u64,
     /// The event loop fills in its index and its remaining time.
     pub request: Request,
-    /// When the client gives up.
+    /// The client may give up then: no attempt lasts longer, and no server is told of more time.
     pub deadline: Instant,
+    /// The client gives up then at the latest. Differs where its connection may have waited to be accepted; what is decided
+    /// goes by it, as most have waited for less than they may have.
+    pub latest_deadline: Instant,
     /// What a server receives.
     pub upstream_request: UpstreamRequest,
     /// Takes the response.
