Campaign: faults of several parts, halting and chunking clients, and a check on 408 for complete requests

Change: FaultPlan::generate_wide adds to the faults of before short suspensions in a row, slow links, a restart while discovery is silent, a connection burst into a shutdown, and reloads in a drain; run_wide adds clients that stop in the middle of a request and clients that upload in 4,000 chunks. New check: a request written at once is never called incomplete; planted violation and allowed course in checker/tests.rs.

--- a/crates/merlinreel-testkit/src/checker.rs
+++ b/crates/merlinreel-testkit/src/checker.rs
@@ -15,6 +15,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The status of a response to a request that was not complete in time.
+const REQUEST_TIMEOUT: u16 = 408;
+/// A request that its client's kernel has taken within this was written at once.
+const WRITTEN_AT_ONCE: Duration = Duration::from_millis(200);
+
 /// What a customer may use: never more than the burst and what was refilled since.
 #[derive(Clone, Copy, Debug)]
 pub struct QuotaBound {
@@ -68,6 +73,7 @@
     };
     for (id, request) in &requests {
         checker.check_response(id, request);
+        checker.check_not_called_incomplete(id, request);
         checker.check_effects(id, request);
         for attempt in &request.attempts {
             checker.check_attempt(id, request, attempt);
@@ -109,6 +115,21 @@
         }
     }
 
+    /// A request that its client had written at once is not called incomplete.
+    fn check_not_called_incomplete(&mut self, id: &RequestId, request: &RequestHistory) {
+        let was_called_incomplete = request
+            .responses
+            .iter()
+            .any(|response| response.status == REQUEST_TIMEOUT);
+        let was_written_at_once = request
+            .written_at
+            .is_some_and(|written| written < request.sent_at + WRITTEN_AT_ONCE);
+        if was_called_incomplete && was_written_at_once {
+            self.violations
+                .push(Violation::CalledIncomplete(id.clone()));
+        }
+    }
+
     fn check_missing_response(&mut self, id: &RequestId, request: &RequestHistory, due: Duration) {
         // A client that disconnected, or still waited as the log ended, proves nothing.
         if request.disconnected_at.is_some() || !request.client_gave_up {
--- a/crates/merlinreel-testkit/src/checker/tests.rs
+++ b/crates/merlinreel-testkit/src/checker/tests.rs
@@ -45,6 +45,10 @@
     }
 }
 
+fn written() -> Event {
+    Event::RequestWritten { id: "a".into() }
+}
+
 fn answered(status: u16) -> Event {
     Event::ResponseReceived {
         id: "a".into(),
@@ -103,6 +107,8 @@
 #[test_case(&[(0, Event::LinkPartitioned(link(0, 1))), (1, sent("look")), (2, received(0, 1)), (3, received(1, 2)), (4, Event::AttemptCompleted { attempt: 2 }), (5, answered(200)), (6, Event::LinkHealed(link(0, 1))), (400, Event::AttemptAborted { attempt: 1 })] => vec!["one attempt at a time"] ; "another link partitioned")]
 #[test_case(&[(0, Event::DrainAnnounced(link(0, 3))), (3500, sent("look")), (3600, received(3, 1)), (3601, Event::AttemptCompleted { attempt: 1 }), (3602, answered(200))] => vec!["no attempt after a drain"] ; "after the grace")]
 #[test_case(&[(0, Event::DrainAnnounced(link(1, 3))), (3500, sent("look")), (3600, received(3, 1)), (3601, Event::AttemptCompleted { attempt: 1 }), (3602, answered(200))] => Vec::<String>::new() ; "announced to another limiter")]
+#[test_case(&[(0, sent("put")), (10, written()), (2200, answered(408))] => vec!["response in time", "no complete request refused as late"] ; "complete request called incomplete")]
+#[test_case(&[(0, sent("put")), (900, written()), (1900, answered(408))] => Vec::<String>::new() ; "slowly written request called incomplete")]
 fn event_sequence_breaks_expected_rules(events: &[(u64, Event)]) -> Vec<String> {
     violated_rules(events)
 }
--- a/crates/merlinreel-testkit/src/checker/violation.rs
+++ b/crates/merlinreel-testkit/src/checker/violation.rs
@@ -54,6 +54,8 @@
     DuplicateResponse(RequestId),
     /// The response arrived too long after the deadline.
     LateResponse(RequestId),
+    /// The request was answered as incomplete, though its client had written all of it at once.
+    CalledIncomplete(RequestId),
     /// An attempt began after its client had disconnected.
     AttemptAfterDisconnect(RequestId),
     /// More time than the client had left was advertised to a server.
@@ -98,6 +100,9 @@
             Violation::LateResponse(id) => {
                 write!(f, "response in time: request {id} had it later")
             }
+            Violation::CalledIncomplete(id) => {
+                write!(f, "no complete request refused as late: request {id}")
+            }
             Violation::AttemptAfterDisconnect(id) => {
                 write!(f, "no attempt after the client disconnected: request {id}")
             }
--- a/crates/merlinreel-testkit/src/cluster.rs
+++ b/crates/merlinreel-testkit/src/cluster.rs
@@ -25,6 +25,12 @@
 /// A connection of a burst that is not established by then is the last one, as a suspended process's queue may be full.
 const BURST_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 const CLIENTS_PER_LIMITER: usize = 3;
+/// Clients that stop in the middle of a request, and clients that upload in small chunks, are added to them.
+const WIDE_CLIENTS_PER_LIMITER: usize = 5;
+const HALT: Duration = Duration::from_millis(60);
+const UPLOAD_CHUNKS: usize = 4000;
+const SLOW_LINK_DELAY: Duration = Duration::from_millis(10);
+const SLOW_LINK_CHUNK_BYTES: usize = 64;
 const PIPELINED_REQUESTS: usize = 4;
 const CLIENT_INTERVAL: Duration = Duration::from_millis(15);
 const CLIENT_GRACE: Duration = Duration::from_secs(3);
@@ -114,8 +120,25 @@
     /// # Panics
     /// A client's thread panicked, or a limiter does not start again.
     pub fn run(&mut self, plan: &FaultPlan, duration: Duration) -> Vec<LogEntry> {
+        self.run_with_clients(plan, duration, CLIENTS_PER_LIMITER)
+    }
+
+    /// The same, with further clients: some stop in the middle of a request, some upload in small chunks.
+    ///
+    /// # Panics
+    /// A client's thread panicked, or a limiter does not start again.
+    pub fn run_wide(&mut self, plan: &FaultPlan, duration: Duration) -> Vec<LogEntry> {
+        self.run_with_clients(plan, duration, WIDE_CLIENTS_PER_LIMITER)
+    }
+
+    fn run_with_clients(
+        &mut self,
+        plan: &FaultPlan,
+        duration: Duration,
+        clients_per_limiter: usize,
+    ) -> Vec<LogEntry> {
         let stop = Arc::new(AtomicBool::new(false));
-        let clients: Vec<_> = (0..self.limiters.len() * CLIENTS_PER_LIMITER)
+        let clients: Vec<_> = (0..self.limiters.len() * clients_per_limiter)
             .map(|number| self.start_client(number, &stop))
             .collect();
         let start = Instant::now();
@@ -136,6 +159,8 @@
         let pattern = match number / self.limiters.len() {
             0 => RequestPattern::Sequential,
             1 => RequestPattern::Pipelined(PIPELINED_REQUESTS),
+            3 => RequestPattern::Halting(HALT),
+            4 => RequestPattern::Chunked(UPLOAD_CHUNKS),
             _ => RequestPattern::Abandoning(Duration::from_millis(3 * number as u64)),
         };
         let client = LoadClient {
@@ -241,6 +266,15 @@
                 self.log.record(Event::LinkPartitioned(link));
                 self.set_network_conditions(link, open, partitioned);
             }
+            LinkFault::Slow => {
+                let slow = NetworkConditions {
+                    delay: SLOW_LINK_DELAY,
+                    jitter: SLOW_LINK_DELAY,
+                    chunk_bytes: Some(SLOW_LINK_CHUNK_BYTES),
+                    ..open
+                };
+                self.set_network_conditions(link, slow, slow);
+            }
             LinkFault::Heal => {
                 self.set_network_conditions(link, open, open);
                 self.log.record(Event::LinkHealed(link));
--- a/crates/merlinreel-testkit/src/fault_plan.rs
+++ b/crates/merlinreel-testkit/src/fault_plan.rs
@@ -5,6 +5,8 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
+mod wide;
+
 /// A terminated limiter is restarted after this time; where necessary it was killed before.
 const RESTART_AFTER_TERMINATION: Duration = Duration::from_millis(2500);
 
@@ -80,6 +82,8 @@
     Partition,
     /// Nothing passes from the server to the limiter.
     PartitionResponses,
+    /// Everything passes late and in small pieces.
+    Slow,
     /// Everything passes again.
     Heal,
     /// Closes all open connections.
@@ -121,7 +125,34 @@
         for _ in 0..fault_count {
             generator.draw(duration);
         }
-        let mut faults = generator.faults;
+        generator.into_plan()
+    }
+
+    /// The same faults, and as many that combine several: see [`wide`].
+    pub fn generate_wide(
+        seed: u64,
+        fault_count: usize,
+        limiters: usize,
+        servers: usize,
+        duration: Duration,
+    ) -> FaultPlan {
+        let mut generator = Generator {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            servers,
+            unavailable_until: vec![Duration::ZERO; limiters],
+            faults: Vec::new(),
+        };
+        for _ in 0..fault_count {
+            generator.draw(duration);
+            generator.draw_wide(duration);
+        }
+        generator.into_plan()
+    }
+}
+
+impl Generator {
+    fn into_plan(self) -> FaultPlan {
+        let mut faults = self.faults;
         faults.sort_by_key(|planned| planned.at);
         FaultPlan { faults }
     }
--- a/crates/merlinreel-testkit/src/load_client.rs
+++ b/crates/merlinreel-testkit/src/load_client.rs
@@ -10,6 +10,45 @@
 /// The request classes that a client cycles through.
 const CLASSES: [&str; 3] = ["look", "put", "pay"];
 
+/// The place of a class with a body that may not be repeated, in [`CLASSES`].
+const UPLOAD_SEQUENCE: usize = 2;
+
+/// A request as it is written.
+struct ComposedRequest {
+    id: RequestId,
+    class: &'static str,
+    text: String,
+}
+
+impl ComposedRequest {
+    fn new(class: &'static str, text: String) -> ComposedRequest {
+        let id = text
+            .split("X-Txn: ")
+            .nth(1)
+            .and_then(|rest| rest.split("\r\n").next())
+            .unwrap_or("")
+            .to_owned();
+        ComposedRequest { id, class, text }
+    }
+}
+
+/// Reads a response and records it, or that there is none; whether the connection stays open.
+fn record_response(client: &mut Client, id: RequestId, is_new: bool, log: &EventLog) -> bool {
+    let Some(response) = client.receive() else {
+        log.record(Event::NoResponse {
+            id,
+            is_first_on_connection: is_new,
+        });
+        return false;
+    };
+    log.record(Event::ResponseReceived {
+        id,
+        status: response.status(),
+        has_retry_after: response.header("retry-after").is_some(),
+    });
+    response.header("connection") != Some("close")
+}
+
 /// How a client uses its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestPattern {
@@ -19,6 +58,10 @@
     Pipelined(usize),
     /// One request at a time; after every fourth the client closes the connection, this long after sending it.
     Abandoning(Duration),
+    /// One request at a time, in two parts with this pause between them. It counts as sent with its second part.
+    Halting(Duration),
+    /// One request at a time, with a body of this many chunks of a byte.
+    Chunked(usize),
 }
 
 /// A client and its load.
@@ -63,6 +106,21 @@
                     self.send_and_disconnect(client, after, sequence, log);
                     continue;
                 }
+                RequestPattern::Chunked(chunks) => {
+                    let request = self.compose_upload(chunks);
+                    let stays_open = self.send_in_parts(&mut client, &request, 0, is_new, log);
+                    open = stays_open.then_some(client);
+                    continue;
+                }
+                RequestPattern::Halting(pause) => {
+                    let request = self.compose(sequence);
+                    let half = request.text.len() / 2;
+                    client.send(&request.text[..half]);
+                    thread::sleep(pause);
+                    let stays_open = self.send_in_parts(&mut client, &request, half, is_new, log);
+                    open = stays_open.then_some(client);
+                    continue;
+                }
                 RequestPattern::Sequential | RequestPattern::Abandoning(_) => 1,
             };
             let stays_open = self.exchange(&mut client, count, sequence, is_new, log);
@@ -70,25 +128,48 @@
         }
     }
 
-    /// Composes a request and records that it is sent; its id and its text.
-    fn compose(&self, sequence: usize, log: &EventLog) -> (RequestId, String) {
+    /// Composes a request of the class whose turn it is.
+    fn compose(&self, sequence: usize) -> ComposedRequest {
         let class = CLASSES[sequence % CLASSES.len()];
         let remaining = format!("{}m", self.timeout.as_millis());
-        let text = request(class, self.customer, 1, &remaining);
-        let id = text
-            .split("X-Txn: ")
-            .nth(1)
-            .and_then(|rest| rest.split("\r\n").next())
-            .unwrap_or("")
-            .to_owned();
+        ComposedRequest::new(class, request(class, self.customer, 1, &remaining))
+    }
+
+    /// Composes a request whose body comes in this many chunks of a byte.
+    fn compose_upload(&self, chunks: usize) -> ComposedRequest {
+        let mut upload = self.compose(UPLOAD_SEQUENCE);
+        let head = upload.text.trim_end_matches("a body");
+        let head = head.replace("Content-Length: 6", "Transfer-Encoding: chunked");
+        upload.text = head + &"1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n";
+        upload
+    }
+
+    /// Records that a request is sent now.
+    fn record_sent(&self, request: &ComposedRequest, log: &EventLog) {
         log.record(Event::RequestSent {
-            id: id.clone(),
-            class,
+            id: request.id.clone(),
+            class: request.class,
             customer: self.customer,
             limiter: self.limiter,
             timeout: self.timeout,
         });
-        (id, text)
+    }
+
+    /// Sends what of a request was not `sent` yet and reads its response; whether the connection stays open.
+    fn send_in_parts(
+        &self,
+        client: &mut Client,
+        request: &ComposedRequest,
+        sent: usize,
+        is_new: bool,
+        log: &EventLog,
+    ) -> bool {
+        let _ = client.set_read_timeout(self.timeout + self.grace);
+        self.record_sent(request, log);
+        client.send(&request.text[sent..]);
+        let id = request.id.clone();
+        log.record(Event::RequestWritten { id });
+        record_response(client, request.id.clone(), is_new, log)
     }
 
     /// Sends requests at once and reads their responses; whether the connection stays open.
@@ -101,31 +182,27 @@
         log: &EventLog,
     ) -> bool {
         let _ = client.set_read_timeout(self.timeout + self.grace);
-        let requests: Vec<(RequestId, String)> = (0..count)
-            .map(|n| self.compose(sequence + n, log))
-            .collect();
-        let texts: String = requests.iter().map(|(_, text)| text.as_str()).collect();
+        let requests: Vec<ComposedRequest> =
+            (0..count).map(|n| self.compose(sequence + n)).collect();
+        for sent in &requests {
+            self.record_sent(sent, log);
+        }
+        let texts: String = requests.iter().map(|sent| sent.text.as_str()).collect();
         client.send(&texts);
-        for (id, _) in &requests {
-            log.record(Event::RequestWritten { id: id.clone() });
+        for sent in &requests {
+            let id = sent.id.clone();
+            log.record(Event::RequestWritten { id });
         }
         let mut stays_open = true;
-        for (id, _) in requests {
-            let response = client.receive().filter(|_| stays_open);
-            stays_open = response
-                .as_ref()
-                .is_some_and(|response| response.header("connection") != Some("close"));
-            log.record(match response {
-                None => Event::NoResponse {
-                    id,
+        for sent in requests {
+            if stays_open {
+                stays_open = record_response(client, sent.id, is_new, log);
+            } else {
+                log.record(Event::NoResponse {
+                    id: sent.id,
                     is_first_on_connection: is_new,
-                },
-                Some(response) => Event::ResponseReceived {
-                    id,
-                    status: response.status(),
-                    has_retry_after: response.header("retry-after").is_some(),
-                },
-            });
+                });
+            }
         }
         stays_open
     }
@@ -138,7 +215,11 @@
         sequence: usize,
         log: &EventLog,
     ) {
-        let (id, text) = self.compose(sequence, log);
+        let ComposedRequest { id, text, .. } = {
+            let composed = self.compose(sequence);
+            self.record_sent(&composed, log);
+            composed
+        };
         client.send(&text);
         log.record(Event::RequestWritten { id: id.clone() });
         thread::sleep(after);
--- a/crates/merlinreel/examples/campaign.rs
+++ b/crates/merlinreel/examples/campaign.rs
@@ -1,7 +1,9 @@
 //! A fault campaign: injects random faults into a cluster, seed after seed, and prints a results table of the requests
 //! sent, served, rejected, failed and unanswered, and of the rules that were violated.
 //!
-//!     cargo run --release --example campaign -- FIRST_SEED LAST_SEED LIMITERS SERVERS SECONDS FAULTS
+//!     cargo run --release --example campaign -- FIRST_SEED LAST_SEED LIMITERS SERVERS SECONDS FAULTS [wide]
+//!
+//! With `wide`, faults of several parts and further clients are added: see `FaultPlan::generate_wide`.
 
 use merlinreel_testkit::{Cluster, Event, FaultPlan, LogEntry, Tolerances, find_violations};
 use std::process::ExitCode;
@@ -15,15 +17,15 @@
     servers: usize,
     duration: Duration,
     faults: usize,
+    is_wide: bool,
 }
 
 impl Arguments {
-    /// None where the arguments are not six numbers.
+    /// None where the arguments are not six numbers, with `wide` behind them or not.
     fn parse() -> Option<Arguments> {
-        let numbers: Option<Vec<u64>> = std::env::args()
-            .skip(1)
-            .map(|text| text.parse().ok())
-            .collect();
+        let mut texts: Vec<String> = std::env::args().skip(1).collect();
+        let is_wide = texts.pop_if(|last| last == "wide").is_some();
+        let numbers: Option<Vec<u64>> = texts.iter().map(|text| text.parse().ok()).collect();
         let [first_seed, last_seed, limiters, servers, seconds, faults] =
             <[u64; 6]>::try_from(numbers?).ok()?;
         Some(Arguments {
@@ -33,13 +35,16 @@
             servers: servers as usize,
             duration: Duration::from_secs(seconds),
             faults: faults as usize,
+            is_wide,
         })
     }
 }
 
 fn main() -> ExitCode {
     let Some(arguments) = Arguments::parse() else {
-        eprintln!("campaign: six numbers: FIRST_SEED LAST_SEED LIMITERS SERVERS SECONDS FAULTS");
+        eprintln!(
+            "campaign: six numbers: FIRST_SEED LAST_SEED LIMITERS SERVERS SECONDS FAULTS [wide]"
+        );
         return ExitCode::FAILURE;
     };
     println!("| seed | sent | served | rejected | failed | unanswered | rules violated |");
@@ -63,8 +68,13 @@
         ..
     } = *arguments;
     let mut cluster = Cluster::start(seed, limiters, servers);
-    let plan = FaultPlan::generate(seed, faults, limiters, servers, duration);
-    let entries = cluster.run(&plan, duration);
+    let entries = if arguments.is_wide {
+        let plan = FaultPlan::generate_wide(seed, faults, limiters, servers, duration);
+        cluster.run_wide(&plan, duration)
+    } else {
+        let plan = FaultPlan::generate(seed, faults, limiters, servers, duration);
+        cluster.run(&plan, duration)
+    };
     let violations: Vec<String> = find_violations(&entries, &Tolerances::default())
         .iter()
         .map(ToString::to_string)
--- a/crates/merlinreel/tests/sockets/fault_campaign.rs
+++ b/crates/merlinreel/tests/sockets/fault_campaign.rs
@@ -34,6 +34,26 @@
     assert!(cluster.servers[0].completed_requests() > 0);
 }
 
+/// The same with faults of several parts (short suspensions in a row, slow links, a restart while discovery is silent, a
+/// connection burst into a shutdown, reloads in a drain), and with clients that stop in the middle of a request or upload
+/// in thousands of chunks.
+#[test_case(1)]
+#[test_case(2)]
+fn faults_of_several_parts_violate_no_rule(seed: u64) {
+    let duration = Duration::from_secs(8);
+    let mut cluster = Cluster::start(seed, LIMITERS, SERVERS);
+    let plan = FaultPlan::generate_wide(seed, 4, LIMITERS, SERVERS, duration);
+    let entries = cluster.run_wide(&plan, duration);
+    let violations = find_violations(&entries, &Tolerances::default());
+    let shown: Vec<String> = violations.iter().take(5).map(ToString::to_string).collect();
+    assert!(violations.is_empty(), "{shown:?} under {:?}", plan.faults);
+    let served = entries
+        .iter()
+        .filter(|entry| matches!(entry.event, Event::ResponseReceived { status: 200, .. }))
+        .count();
+    assert!(served > 300, "{served} served");
+}
+
 /// Responses that are slow and split into small pieces on all links at once are complete.
 #[test]
 fn trickled_responses_violate_no_rule() {
