Test kit: a restarted limiter is given the list it had last; slow links delay requests without cutting them

The time: no hold-up, burst or suspension at the limiter; the request was written at once with what was left and then spent up to a second in the link, which passed it 64 bytes at a time.

Change: a slow link cuts responses alone; a new process gets the list that its discovery announced last. A mend of the test kit, none of the product.

--- a/crates/merlinreel-testkit/src/cluster.rs
+++ b/crates/merlinreel-testkit/src/cluster.rs
@@ -267,13 +267,17 @@
                 self.set_network_conditions(link, open, partitioned);
             }
             LinkFault::Slow => {
+                // Requests go in one piece: a limiter can't know how long a link takes, and tells the time as it writes.
                 let slow = NetworkConditions {
                     delay: SLOW_LINK_DELAY,
                     jitter: SLOW_LINK_DELAY,
-                    chunk_bytes: Some(SLOW_LINK_CHUNK_BYTES),
                     ..open
                 };
-                self.set_network_conditions(link, slow, slow);
+                let in_pieces = NetworkConditions {
+                    chunk_bytes: Some(SLOW_LINK_CHUNK_BYTES),
+                    ..slow
+                };
+                self.set_network_conditions(link, slow, in_pieces);
             }
             LinkFault::Heal => {
                 self.set_network_conditions(link, open, open);
@@ -297,6 +301,10 @@
         let started = &mut self.limiters[limiter];
         // The earlier process ends before the next one takes its address.
         started.program = None;
+        // It knows the list that the process before had last, as discovery may be silent now.
+        if let Some(announced) = started.discovery.last_announced() {
+            started.config["known"] = announced;
+        }
         started.program = Some(Program::start(&started.config));
         started.accepts_connections.store(true, Ordering::Relaxed);
     }
--- a/crates/merlinreel-testkit/src/fault_plan.rs
+++ b/crates/merlinreel-testkit/src/fault_plan.rs
@@ -82,7 +82,7 @@
     Partition,
     /// Nothing passes from the server to the limiter.
     PartitionResponses,
-    /// Everything passes late and in small pieces.
+    /// Everything passes late, and responses in small pieces.
     Slow,
     /// Everything passes again.
     Heal,
--- a/crates/merlinreel-testkit/src/stub_discovery.rs
+++ b/crates/merlinreel-testkit/src/stub_discovery.rs
@@ -25,6 +25,8 @@
     is_silent: bool,
     is_indented: bool,
     servers: Vec<ListedServer>,
+    /// The list that was announced last.
+    announced: Option<Value>,
 }
 
 impl State {
@@ -90,6 +92,7 @@
             is_silent: false,
             is_indented: false,
             servers,
+            announced: None,
         }));
         let (shared, log) = (state.clone(), log.clone());
         thread::spawn(move || {
@@ -113,6 +116,11 @@
         lock(&self.state).is_silent = is_silent;
     }
 
+    /// The list that the limiter was told last: what a new process of it is given as known.
+    pub fn last_announced(&self) -> Option<Value> {
+        lock(&self.state).announced.clone()
+    }
+
     /// Writes indented JSON from now on.
     pub fn indent_responses(&self) {
         lock(&self.state).is_indented = true;
@@ -153,7 +161,7 @@
     let wait = Duration::from_millis(parameter("wait_ms=").unwrap_or(0));
     let start = Instant::now();
     loop {
-        let state = lock(state);
+        let mut state = lock(state);
         let is_new = known_generation.is_none_or(|known| state.generation > known);
         let is_due = start.elapsed() >= wait;
         if !state.is_silent && (is_new || is_due) {
@@ -163,6 +171,7 @@
                     log.record(Event::DrainAnnounced(LinkId { limiter, server }));
                 }
             }
+            state.announced = Some(state.message());
             return state.text();
         }
         drop(state);
--- a/crates/merlinreel/examples/campaign.rs
+++ b/crates/merlinreel/examples/campaign.rs
@@ -68,17 +68,22 @@
         ..
     } = *arguments;
     let mut cluster = Cluster::start(seed, limiters, servers);
-    let entries = if arguments.is_wide {
+    let (plan, entries) = if arguments.is_wide {
         let plan = FaultPlan::generate_wide(seed, faults, limiters, servers, duration);
-        cluster.run_wide(&plan, duration)
+        let entries = cluster.run_wide(&plan, duration);
+        (plan, entries)
     } else {
         let plan = FaultPlan::generate(seed, faults, limiters, servers, duration);
-        cluster.run(&plan, duration)
+        let entries = cluster.run(&plan, duration);
+        (plan, entries)
     };
     let violations: Vec<String> = find_violations(&entries, &Tolerances::default())
         .iter()
         .map(ToString::to_string)
         .collect();
+    if !violations.is_empty() {
+        eprintln!("seed {seed} under {:?}", plan.faults);
+    }
     println!(
         "| {seed} | {} | {} | {} | {} | {} | {} |",
         count(&entries, |event| matches!(event, Event::RequestSent { .. })),
