--- a/crates/merlinreel-testkit/src/fault_plan.rs
+++ b/crates/merlinreel-testkit/src/fault_plan.rs
@@ -116,12 +116,7 @@
         servers: usize,
         duration: Duration,
     ) -> FaultPlan {
-        let mut generator = Generator {
-            random: ChaCha8Rng::seed_from_u64(seed),
-            servers,
-            unavailable_until: vec![Duration::ZERO; limiters],
-            faults: Vec::new(),
-        };
+        let mut generator = Generator::new(seed, limiters, servers);
         for _ in 0..fault_count {
             generator.draw(duration);
         }
@@ -136,12 +131,7 @@
         servers: usize,
         duration: Duration,
     ) -> FaultPlan {
-        let mut generator = Generator {
-            random: ChaCha8Rng::seed_from_u64(seed),
-            servers,
-            unavailable_until: vec![Duration::ZERO; limiters],
-            faults: Vec::new(),
-        };
+        let mut generator = Generator::new(seed, limiters, servers);
         for _ in 0..fault_count {
             generator.draw(duration);
             generator.draw_wide(duration);
@@ -151,6 +141,16 @@
 }
 
 impl Generator {
+    fn new(seed: u64, limiters: usize, servers: usize) -> Generator {
+        Generator {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            servers,
+            unavailable_until: vec![Duration::ZERO; limiters],
+            faults: Vec::new(),
+        }
+    }
+
+    /// The faults drawn so far, in the order of their times.
     fn into_plan(self) -> FaultPlan {
         let mut faults = self.faults;
         faults.sort_by_key(|planned| planned.at);
--- a/crates/merlinreel/tests/sockets/advertised_time.rs
+++ b/crates/merlinreel/tests/sockets/advertised_time.rs
@@ -41,6 +41,14 @@
     result
 }
 
+/// The client has its response, and the server was told nothing of the suspension's time.
+fn assert_suspension_is_counted(client: &mut Client, server: &ScriptedServer) {
+    let status = client.receive().map(|response| response.status());
+    assert_eq!(status, Some(200));
+    let told = advertised(server);
+    assert!(told + SUSPENSION <= CLIENT_TIME + SLACK, "{told:?}");
+}
+
 /// Guards against a request's time that is counted from when a suspended limiter read it, on an open connection.
 #[test]
 fn time_in_which_a_request_lay_unread_on_an_open_connection_is_counted() {
@@ -49,12 +57,7 @@
     assert_eq!(client.request("look", 7, 1).status(), 200);
     server.next_request();
     suspend(&program, || client.send(&request_text()));
-    assert_eq!(
-        client.receive().map(|response| response.status()),
-        Some(200)
-    );
-    let told = advertised(&server);
-    assert!(told + SUSPENSION <= CLIENT_TIME + SLACK, "{told:?}");
+    assert_suspension_is_counted(&mut client, &server);
 }
 
 /// Guards against the same on a new connection.
@@ -66,12 +69,7 @@
         client.send(&request_text());
         client
     });
-    assert_eq!(
-        client.receive().map(|response| response.status()),
-        Some(200)
-    );
-    let told = advertised(&server);
-    assert!(told + SUSPENSION <= CLIENT_TIME + SLACK, "{told:?}");
+    assert_suspension_is_counted(&mut client, &server);
 }
 
 /// Guards against the same for requests that wait behind another on a connection.
