Accept queue: looks are cheap, and end where the system does not say how many wait

Cause: that limiter's log has "held up for" 1.9, 1.8 and 3.5 s right after its start, with 227 connections.

Change: one row is read at a time, none after a look that found nothing, and looks are a hundred times as long apart as one takes. The client's deadline is one time again, for decisions and attempts alike.

--- a/crates/merlinreel/src/client/backlog.rs
+++ b/crates/merlinreel/src/client/backlog.rs
@@ -11,6 +11,8 @@
 
 /// Looks at the queue are this long apart at least.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// They are so many times as long apart as one takes, so that a large table of sockets takes little of the processor.
+const LOOK_COST_FACTOR: u32 = 100;
 
 /// One look at the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +31,8 @@
     accepted: u64,
     /// The last look that all connections came after which are still to be accepted, and those behind it.
     looks: VecDeque<Look>,
+    /// The next look is not made before; never where the system has not said how many wait.
+    next_look_at: Option<Instant>,
 }
 
 impl Backlog {
@@ -41,6 +45,7 @@
                 at: since,
                 last_connection: 0,
             }]),
+            next_look_at: Some(since),
         }
     }
 
@@ -49,19 +54,19 @@
         self.is_awaited = true;
     }
 
-    /// Looks at the queue of the socket at that address, unless that was done a moment ago. Nothing is learned where the system does not say how many wait.
+    /// Records that connections are not awaited for now, and looks at the queue of the socket at that address, unless that was done a moment ago or the system does not say how many wait.
     pub fn look(&mut self, listening_at: SocketAddr, now: Instant) {
         if self.is_awaited {
             return self.stop_awaiting(now);
         }
-        let is_due = self
-            .looks
-            .back()
-            .is_none_or(|last| now.saturating_duration_since(last.at) >= LOOK_INTERVAL);
-        if !is_due {
+        if self.next_look_at.is_none_or(|next| now < next) {
             return;
         }
-        if let Some(length) = queue_length(listening_at) {
+        let length = queue_length(listening_at);
+        let cost = now.elapsed();
+        let interval = LOOK_INTERVAL.max(cost * LOOK_COST_FACTOR);
+        self.next_look_at = length.map(|_| now + interval);
+        if let Some(length) = length {
             self.record_look(now, length);
         }
     }
--- a/crates/merlinreel/src/client/backlog/accept_queue.rs
+++ b/crates/merlinreel/src/client/backlog/accept_queue.rs
@@ -8,8 +8,8 @@
 const SOCKET_TABLE: &str = "/proc/net/tcp";
 /// The state of a listening socket in the table.
 const LISTENING: &str = "0A";
-/// Bytes of the table that are read at once.
-const READ_BYTES: usize = 4096;
+/// Bytes of a row. Read one at a time, the kernel never walks through the connections behind the listening sockets.
+const ROW_BYTES: usize = 150;
 
 /// A listening socket's row of the table.
 #[derive(Debug, PartialEq, Eq)]
@@ -51,7 +51,7 @@
         return None;
     };
     let table = File::open(SOCKET_TABLE).ok()?;
-    let table = BufReader::with_capacity(READ_BYTES, table);
+    let table = BufReader::with_capacity(ROW_BYTES, table);
     find_waiting(table, &table_address(address))
 }
 
--- a/crates/merlinreel/src/client/request_reader.rs
+++ b/crates/merlinreel/src/client/request_reader.rs
@@ -31,12 +31,6 @@
     upstream_request: UpstreamRequest,
 }
 
-/// When the client of a request gives up, as far as is known.
-struct ClientDeadlines {
-    earliest: Instant,
-    latest: Instant,
-}
-
 impl ClientListener {
     /// The response to a request. Its client's time runs from the arrival of its head: the earliest time that is known of it
     /// here.
@@ -79,16 +73,11 @@
             return respond_too_many(client_connection).map(Either::Left);
         }
         // A shutdown has a deadline of its own: late requests are answered by then.
-        let until_shutdown = |client_deadline: Instant| {
-            self.shutdown_deadline()
-                .map_or(client_deadline, |deadline| client_deadline.min(deadline))
-        };
-        let remaining_time = complete.request.remaining_time;
-        let deadlines = ClientDeadlines {
-            earliest: until_shutdown(arrival.earliest + remaining_time),
-            latest: until_shutdown(arrival.latest + remaining_time),
-        };
-        self.submit(complete, deadlines, client_connection).await
+        let client_deadline = arrival.earliest + complete.request.remaining_time;
+        let deadline = self
+            .shutdown_deadline()
+            .map_or(client_deadline, |deadline| client_deadline.min(deadline));
+        self.submit(complete, deadline, client_connection).await
     }
 
     /// Whether requests are accepted: 200 or 503.
@@ -153,7 +142,7 @@
     async fn submit(
         &self,
         complete: CompleteRequest,
-        deadlines: ClientDeadlines,
+        deadline: Instant,
         client_connection: &ClientConnection,
     ) -> Response<ResponseBody> {
         let request_id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -161,8 +150,7 @@
         let incoming = IncomingRequest {
             request_id,
             request: complete.request,
-            deadline: deadlines.earliest,
-            latest_deadline: deadlines.latest,
+            deadline,
             upstream_request: complete.upstream_request,
             response_sender,
         };
--- a/crates/merlinreel/src/event_loop.rs
+++ b/crates/merlinreel/src/event_loop.rs
@@ -166,7 +166,7 @@
         batch.requests.push(Request {
             id: index,
             remaining_time: incoming
-                .latest_deadline
+                .deadline
                 .saturating_duration_since(self.executor.now),
             ..incoming.request
         });
--- a/crates/merlinreel/src/event_loop/tests.rs
+++ b/crates/merlinreel/src/event_loop/tests.rs
@@ -73,7 +73,6 @@
             request_id,
             request,
             deadline,
-            latest_deadline: deadline,
             upstream_request,
             response_sender,
         })),
--- a/crates/merlinreel/src/messages.rs
+++ b/crates/merlinreel/src/messages.rs
@@ -69,11 +69,9 @@
     pub request_id: u64,
     /// The event loop fills in its index and its remaining time.
     pub request: Request,
-    /// The client may give up then: no attempt lasts longer, and no server is told of more time.
+    /// When the client gives up. Attempts and what is decided go by the same time: an attempt that is decided and then found
+    /// to be too late would be decided again at once.
     pub deadline: Instant,
-    /// The client gives up then at the latest. Differs where its connection may have waited to be accepted; what is decided
-    /// goes by it, as most have waited for less than they may have.
-    pub latest_deadline: Instant,
     /// What a server receives.
     pub upstream_request: UpstreamRequest,
     /// Takes the response.
