--- a/crates/merlinreel-testkit/src/fault_plan.rs
+++ b/crates/merlinreel-testkit/src/fault_plan.rs
@@ -123,7 +123,7 @@
         generator.into_plan()
     }
 
-    /// The same faults, and as many that combine several: see [`wide`].
+    /// The same faults, and as many that combine several (`fault_plan/wide.rs`).
     pub fn generate_wide(
         seed: u64,
         fault_count: usize,
