--- a/crates/merlinreel/src/client.rs
+++ b/crates/merlinreel/src/client.rs
@@ -2,7 +2,6 @@
 
 mod accept;
 mod arrival_times;
-mod backlog;
 mod body;
 mod connection;
 mod decode;
--- a/crates/merlinreel/src/client/accept.rs
+++ b/crates/merlinreel/src/client/accept.rs
@@ -7,16 +7,12 @@
 use crate::net::backoff::Backoff;
 use crate::net::system_errors::concerns_one_connection;
 use crate::sync::lock;
-use std::future::poll_fn;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::task::{Context, Poll};
 use std::time::Instant;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
-use tokio::task::coop::unconstrained;
 use tokio::time::timeout;
 
 /// What a connection needs before it is accepted, so that none is dropped after it.
@@ -41,15 +37,12 @@
         connection_permits: &Arc<Semaphore>,
     ) {
         let mut backoff = Backoff::default();
-        let listening_at = listener.local_addr().ok();
         loop {
-            let Some(slot) = self.acquire_slot(listening_at, connection_permits).await else {
+            let Some(slot) = self.acquire_slot(connection_permits).await else {
                 return;
             };
-            // Unconstrained, as pending is to mean that nothing waits. The wait for a slot yields to other tasks.
-            let accepted = unconstrained(poll_fn(|cx| self.poll_accept(listener, cx)));
-            match accepted.await {
-                Ok(stream) => {
+            match listener.accept().await {
+                Ok((stream, _)) => {
                     backoff.reset();
                     self.spawn_connection(stream, slot);
                 }
@@ -76,9 +69,8 @@
     ) -> io::Result<()> {
         // The kernel itself is asked: the poller may not have reported the last ones yet.
         let listener = listener.into_std()?;
-        let listening_at = listener.local_addr().ok();
         let mut backoff = Backoff::default();
-        while let Some(slot) = self.acquire_slot(listening_at, connection_permits).await {
+        while let Some(slot) = self.acquire_slot(connection_permits).await {
             match listener.accept().and_then(|(stream, _)| register(stream)) {
                 Ok(stream) => {
                     backoff.reset();
@@ -99,27 +91,11 @@
         Ok(())
     }
 
-    /// Accepts the next connection.
-    fn poll_accept(&self, listener: &TcpListener, cx: &mut Context) -> Poll<io::Result<TcpStream>> {
-        let accepted = listener.poll_accept(cx);
-        if accepted.is_pending() {
-            lock(&self.backlog).record_awaited();
-        }
-        accepted.map_ok(|(stream, _)| stream)
-    }
-
     /// Waits for a slot for the next connection; `None` where the event loop has ended.
-    async fn acquire_slot(
-        &self,
-        listening_at: Option<SocketAddr>,
-        connection_permits: &Arc<Semaphore>,
-    ) -> Option<ConnectionSlot> {
+    async fn acquire_slot(&self, connection_permits: &Arc<Semaphore>) -> Option<ConnectionSlot> {
         let connection_permit = loop {
             // Before the wait and during it, as idle connections must not keep all places.
             self.evict_idle();
-            if let Some(listening_at) = listening_at {
-                lock(&self.backlog).look(listening_at, Instant::now());
-            }
             match timeout(
                 self.limits.client.evict_idle_after,
                 connection_permits.clone().acquire_owned(),
@@ -143,8 +119,6 @@
 
     /// Serves a connection in a task of its own.
     fn spawn_connection(self: &Arc<ClientListener>, stream: TcpStream, slot: ConnectionSlot) {
-        let noticed_since = self.hold_ups.arrived_since(Instant::now());
-        let connected_since = lock(&self.backlog).accept(noticed_since);
         let client_connection = Arc::new(ClientConnection::new(slot.disconnect_event));
         let connection_permit = slot.connection_permit;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -152,7 +126,7 @@
         let client_listener = self.clone();
         tokio::spawn(async move {
             client_listener
-                .serve_connection(stream, connected_since, client_connection)
+                .serve_connection(stream, client_connection)
                 .await;
             lock(&client_listener.client_connections).remove(&id);
             drop(connection_permit);
--- a/crates/merlinreel/src/client/connection.rs
+++ b/crates/merlinreel/src/client/connection.rs
@@ -42,21 +42,10 @@
     pub disconnect_event: Mutex<Option<mpsc::OwnedPermit<Event>>>,
 }
 
-/// When a request had arrived, as far as is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RequestArrival {
-    /// Not before.
-    pub earliest: Instant,
-    /// Not after.
-    pub latest: Instant,
-}
-
 /// When a client connection last did what.
 pub struct ConnectionTimes {
     /// The head that the HTTP library read last had arrived by then.
     pub head_arrived_at: Instant,
-    /// The first request lay unread when the connection was accepted, and came then or later.
-    pub unread_since: Option<Instant>,
     /// When the next piece of a body that is being read is due.
     pub body_due: Option<Instant>,
     /// It waits for a request since then.
@@ -102,7 +91,6 @@
             has_content_length: AtomicBool::new(false),
             times: Mutex::new(ConnectionTimes {
                 head_arrived_at: Instant::now(),
-                unread_since: None,
                 body_due: None,
                 idle_since: Instant::now(),
                 partial_since: None,
@@ -128,20 +116,9 @@
         }
     }
 
-    /// Records that the first request lay unread when the connection was accepted, and came then or later.
-    pub fn record_unread_since(&self, unread_since: Instant) {
-        lock(&self.times).unread_since = Some(unread_since);
-    }
-
-    /// When the head of [`ClientConnection::last_head`] had arrived. A wait to be accepted counts for the first one.
-    pub fn take_arrival(&self) -> RequestArrival {
-        let mut times = lock(&self.times);
-        let unread_since = times.unread_since.take();
-        let latest = times.head_arrived_at;
-        RequestArrival {
-            earliest: unread_since.map_or(latest, |since| since.min(latest)),
-            latest,
-        }
+    /// When the head of [`ClientConnection::last_head`] had arrived.
+    pub fn head_arrived_at(&self) -> Instant {
+        lock(&self.times).head_arrived_at
     }
 
     /// Records whether the last read found nothing more.
--- a/crates/merlinreel/src/client/listener.rs
+++ b/crates/merlinreel/src/client/listener.rs
@@ -1,6 +1,5 @@
 //! What the connections of all clients share.
 
-use super::backlog::Backlog;
 use super::connection::ClientConnection;
 use crate::admission::AdmissionPermits;
 use crate::config::limits::Limits;
@@ -34,7 +33,6 @@
     pub(super) client_connections: Mutex<HashMap<u64, Arc<ClientConnection>>>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) hold_ups: Arc<HoldUpMonitor>,
-    pub(super) backlog: Mutex<Backlog>,
 }
 
 impl ClientListener {
@@ -49,7 +47,6 @@
         Arc::new(ClientListener {
             metrics,
             hold_ups,
-            backlog: Mutex::new(Backlog::new(Instant::now())),
             permits: AdmissionPermits::new(&limits),
             limits,
             active_settings,
--- a/crates/merlinreel/src/client/request_reader.rs
+++ b/crates/merlinreel/src/client/request_reader.rs
@@ -1,7 +1,7 @@
 //! Reads a complete request, passes it to the event loop, and responds to it.
 
 use super::body::BodyDeadline;
-use super::connection::{ClientConnection, RequestArrival};
+use super::connection::ClientConnection;
 use super::decode::{REQUEST_ID, decode};
 use super::framing::{self, ObservedHead};
 use super::in_flight::{DisconnectGuard, InFlightGuard};
@@ -32,13 +32,13 @@
 }
 
 impl ClientListener {
-    /// The response to a request. Its client's time runs from the arrival of its head: the earliest time that is known of it
-    /// here.
+    /// The response to a request. Its client's time runs from `sent_at`, when its head had arrived: the earliest time that
+    /// is known of it here.
     pub(super) async fn respond(
         &self,
         request: hyper::Request<Incoming>,
         head: ObservedHead,
-        arrival: RequestArrival,
+        sent_at: Instant,
         client_connection: &ClientConnection,
     ) -> Response<ResponseBody> {
         if let Err(error) = framing::check(request.headers(), head) {
@@ -56,7 +56,7 @@
         client_connection.mark_partial();
         let length = request.body().size_hint().exact();
         let read = self
-            .read_request(request, arrival, request_due, client_connection)
+            .read_request(request, sent_at, request_due, client_connection)
             .await;
         let complete = match read {
             Ok(complete) => complete,
@@ -73,7 +73,7 @@
             return respond_too_many(client_connection).map(Either::Left);
         }
         // A shutdown has a deadline of its own: late requests are answered by then.
-        let client_deadline = arrival.earliest + complete.request.remaining_time;
+        let client_deadline = sent_at + complete.request.remaining_time;
         let deadline = self
             .shutdown_deadline()
             .map_or(client_deadline, |deadline| client_deadline.min(deadline));
@@ -100,7 +100,7 @@
     async fn read_request(
         &self,
         request: hyper::Request<Incoming>,
-        arrival: RequestArrival,
+        sent_at: Instant,
         request_due: Instant,
         client_connection: &ClientConnection,
     ) -> Result<CompleteRequest, Response<Full<Bytes>>> {
@@ -117,7 +117,7 @@
             let allowed = head.method != Method::GET;
             let deadline = BodyDeadline {
                 request_due,
-                client_deadline: arrival.latest + request.remaining_time,
+                client_deadline: sent_at + request.remaining_time,
                 started: Instant::now(),
             };
             let buffered = self
--- a/crates/merlinreel/src/client/serving.rs
+++ b/crates/merlinreel/src/client/serving.rs
@@ -30,18 +30,14 @@
 /// A client connection as the HTTP library reads and writes it.
 type HttpStream = TokioIo<ClientStream>;
 
-/// A connection that waited for less to be accepted was accepted at once.
-const MIN_COUNTED_WAIT: Duration = Duration::from_millis(5);
-
 /// Polls of a connection at once while it reads a body; other tasks run after these.
 const MAX_POLLS_AT_ONCE: usize = 32;
 
 impl ClientListener {
-    /// Serves a connection until it has ended. It came at `connected_since` or later.
+    /// Serves a connection until it has ended.
     pub(super) async fn serve_connection(
         self: &Arc<ClientListener>,
         stream: TcpStream,
-        connected_since: Instant,
         client_connection: Arc<ClientConnection>,
     ) {
         let _ = stream.set_nodelay(true);
@@ -52,9 +48,6 @@
             self.permits.clone(),
             self.hold_ups.clone(),
         ));
-        if connected_since.elapsed() > MIN_COUNTED_WAIT && stream.inner().has_unread() {
-            client_connection.record_unread_since(connected_since);
-        }
         while let Some(mut idle) = self.serve_until_idle(stream, &client_connection).await {
             // The kernel is asked last: what arrived since the poller looked must not be cut off.
             if !idle.inner().has_unread() {
@@ -139,13 +132,13 @@
         let client_listener = self.clone();
         let client_connection = client_connection.clone();
         let head = client_connection.last_head();
-        let arrival = client_connection.take_arrival();
+        let head_arrived_at = client_connection.head_arrived_at();
         client_connection.consume_delivered();
         async move {
             let class = class_of(request.uri().path()).to_owned();
             let counts = request.uri().path() != UP_PATH;
             let mut response = client_listener
-                .respond(request, head, arrival, &client_connection)
+                .respond(request, head, head_arrived_at, &client_connection)
                 .await;
             let outcome = ResponseOutcome::from_status(response.status());
             match response.body_mut() {
--- a/crates/merlinreel/src/client/stream.rs
+++ b/crates/merlinreel/src/client/stream.rs
@@ -187,8 +187,7 @@
                     .overflowed
                     .store(true, Ordering::Relaxed);
             } else {
-                let arrived_since = self.arrived_since();
-                self.arrival_times.record(bytes.len(), arrived_since);
+                self.arrival_times.record(bytes.len(), self.arrived_since());
                 self.buffer.extend_from_slice(bytes);
                 self.publish_buffered();
             }
@@ -202,8 +201,8 @@
         let section = self.scanner.scan(bytes);
         let arrived_at = self.arrival_times.take(section.length);
         if let Some(head) = section.head {
-            let arrived_at = arrived_at.unwrap_or_else(|| self.arrived_since());
-            self.client_connection.record_head(head, arrived_at);
+            self.client_connection
+                .record_head(head, arrived_at.unwrap_or_else(|| self.arrived_since()));
         }
         self.client_connection
             .delivered_bytes
--- a/crates/merlinreel/src/client/tests.rs
+++ b/crates/merlinreel/src/client/tests.rs
@@ -42,7 +42,6 @@
         idle_since: ago(idle_s),
         partial_since: partial_s.map(ago),
         write_blocked_since: None,
-        unread_since: None,
     };
     Arc::new(client_connection)
 }
@@ -119,11 +118,7 @@
     ));
     let served = client_connection.clone();
     let client_listener = client_listener.clone();
-    let task = tokio::spawn(async move {
-        client_listener
-            .serve_connection(stream, Instant::now(), served)
-            .await;
-    });
+    let task = tokio::spawn(async move { client_listener.serve_connection(stream, served).await });
     (client_connection, task)
 }
 
