--- a/review/src/case_customers.rs
+++ b/review/src/case_customers.rs
@@ -15,12 +15,12 @@
 const LIMITERS: usize = 2;
 const SERVERS: usize = 10;
 /// The pages give a limiter 32 to 192 MB and 256 to 1,024 descriptors.
-const MEMORY_MB: u64 = 64;
-const SOCKETS: u64 = 512;
+const MEMORY_MB: u64 = 32;
+const SOCKETS: u64 = 256;
 /// Bad clients at each limiter, and how many requests each sends at once.
-const BAD_CLIENTS: u64 = 60;
+const BAD_CLIENTS: u64 = 30;
 const AT_ONCE: u64 = 300;
-const RUN: Duration = Duration::from_secs(40);
+const RUN: Duration = Duration::from_secs(60);
 const CORES: usize = 2;
 const QUEUE: usize = 20;
 
