--- a/review/src/case_customers.rs
+++ b/review/src/case_customers.rs
@@ -18,7 +18,7 @@
 const MEMORY_MB: u64 = 32;
 const SOCKETS: u64 = 256;
 /// Bad clients at each limiter, and how many requests each sends at once.
-const BAD_CLIENTS: u64 = 30;
+const BAD_CLIENTS: u64 = 60;
 const AT_ONCE: u64 = 300;
 const RUN: Duration = Duration::from_secs(60);
 const CORES: usize = 2;
