--- a/review/src/case_copy.rs
+++ b/review/src/case_copy.rs
@@ -101,6 +101,7 @@
                         Ok(client) => client,
                         Err(_) => continue,
                     };
+                    note(format!("{limiter_name}: {} {id} sent", ask.class));
                     match client.call(&request_text(&id, &ask), ms(2500)) {
                         Ok(answer) => {
                             let own = answer.body.ends_with(&format!("to {id}\n")) && made.lock().unwrap().contains(&answer.body);
--- a/review/src/common.rs
+++ b/review/src/common.rs
@@ -26,6 +26,7 @@
 }
 
 static RECORD: OnceLock<Record> = OnceLock::new();
+static TEMP: OnceLock<PathBuf> = OnceLock::new();
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 pub fn note(line: impl AsRef<str>) {
@@ -64,6 +65,16 @@
 
 /// Starts a case. The arguments are the case's folder.
 pub fn setup() -> Setup {
+    // A stand-in or driver that fails is no verdict: the case could not run.
+    std::panic::set_hook(Box::new(|panic| {
+        note(format!("the driver failed: {panic}"));
+        eprintln!("the driver failed: {panic}");
+        kill_children();
+        if let Some(temp) = TEMP.get() {
+            let _ = std::fs::remove_dir_all(temp);
+        }
+        std::process::exit(2);
+    }));
     let folder = PathBuf::from(std::env::args().nth(1).expect("the case's folder"));
     let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
     let _ = RECORD.set(Record { file: Mutex::new(file), start: Instant::now() });
@@ -81,6 +92,7 @@
     }
     let temp = std::env::temp_dir().join(format!("merlinreel-review-{}", std::process::id()));
     std::fs::create_dir_all(&temp).expect("a temporary folder");
+    let _ = TEMP.set(temp.clone());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     note(format!("run with trouble: {trouble}"));
     let watched = temp.clone();
