--- a/review/src/case_slow_answer.rs
+++ b/review/src/case_slow_answer.rs
@@ -107,6 +107,7 @@
                         spread: 1, first: number % LIMITERS, key: None, post: true,
                     };
                     // The first bytes are timed; the client reads on as long as the answer comes.
+                    note(format!("client: licence-charge {id} sent, {REMAINING_MS} ms left"));
                     let result = Client::connect(listen).and_then(|mut client| client.call(&request_text(&id, &ask), ms(3500)));
                     let text = match result {
                         Ok(answer) if answer.status == 200 && answer.body.len() == LENGTH => "whole".to_owned(),
