--- a/review/src/case_customers.rs
+++ b/review/src/case_customers.rs
@@ -25,16 +25,19 @@
 const QUEUE: usize = 20;
 
 /// A sound server: two cores, a queue, and 503 with X-Turned-Away beyond it.
-fn serve(stream: TcpStream, held: &AtomicUsize) {
+fn serve(name: &str, stream: TcpStream, held: &AtomicUsize) {
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
     while let Ok(Some(message)) = read_request(&mut reader) {
         let before = held.fetch_add(1, Ordering::SeqCst);
+        let id = message.header("x-txn").to_owned();
         let text = if before >= CORES + QUEUE {
+            note(format!("{name}: turned away {id}"));
             "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
         } else {
             thread::sleep(ms(20) * (1 + (before / CORES) as u32));
-            let body = format!("answer to {}\n", message.header("x-txn"));
+            note(format!("{name}: ran {id}"));
+            let body = format!("answer to {id}\n");
             format!("HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: {}\r\n\r\n{body}", body.len())
         };
         held.fetch_sub(1, Ordering::SeqCst);
@@ -56,7 +59,7 @@
     let servers: Vec<Instance> = (0..SERVERS)
         .map(|i| {
             let held = AtomicUsize::new(0);
-            Instance::up(&format!("s-{i}"), start_server(move |stream| serve(stream, &held)), ["hall-a", "hall-b"][i % 2])
+            Instance::up(&format!("s-{i}"), { let name = format!("s-{i}"); start_server(move |stream| serve(&name, stream, &held)) }, ["hall-a", "hall-b"][i % 2])
         })
         .collect();
     let discovery = start_discovery(servers.clone());
@@ -87,6 +90,7 @@
                 let id = fresh_id();
                 let (class, post) = if number % 4 == 0 { ("licence-charge", true) } else { ("subset-fetch", false) };
                 let ask = Ask { class, plan: "studio", customer: 100 + number as u64, remaining_ms: 1400, spread: 1, first: rank, key: None, post };
+                note(format!("n{rank}: usual client: {class} {id} sent"));
                 match client.call(&request_text(&id, &ask), ms(2500)) {
                     Ok(answer) => {
                         note(format!("n{rank}: usual client: {class} {id} answered {}", answer.status));
@@ -123,13 +127,16 @@
                             let ask = Ask { class: "subset-fetch", plan: "basic", customer, remaining_ms: 1400, spread: 1, first: rank, key: None, post: false };
                             text += &request_text(&fresh_id(), &ask);
                         }
+                        note(format!("n{rank}: bad client {number}: {AT_ONCE} requests sent at once, customers up to {customer}"));
                         if client.send(&text).is_err() {
                             break;
                         }
+                        let mut refused = 0;
                         for _ in 0..AT_ONCE {
                             match client.receive(ms(2500)) {
                                 Ok(answer) => {
                                     bad_answers.fetch_add(1, Ordering::Relaxed);
+                                    refused += u64::from(answer.status != 200);
                                     if answer.closes {
                                         break 'connection;
                                     }
@@ -137,6 +144,7 @@
                                 Err(_) => break 'connection,
                             }
                         }
+                        note(format!("n{rank}: bad client {number}: {AT_ONCE} answers, {refused} of them not 200"));
                     }
                 }
             }));
