A long response whose server stops half way no longer holds up a shutdown

What callers saw: after SIGTERM the limiter did not end by itself, and a client whose long response had stopped half way waited without an end.

Cause: from its 65,537th byte on a response is streamed, and nothing bounded the wait for its next byte. The attempt had ended, so its deadline no longer counted, and the client's connection counts as busy until the stream ends, so neither the idle timeout nor the shutdown could end it.

Change: a streaming body ends incomplete if its server sends nothing for 10 s while the client could receive more; after the deadline of a shutdown one whose server has sent nothing for a second no longer counts as in flight. It works because the wait is timed where it happens, at the poll of the body, which a slow client does not reach.

The test kit's servers can send a response piece by piece; texts of responses and the classes' names have moved out of truncated_responses.rs into a module of their own.

--- a/crates/merlinreel-testkit/src/http.rs
+++ b/crates/merlinreel-testkit/src/http.rs
@@ -110,6 +110,9 @@
 
 /// Reads the next message. `None` if the connection ended before it began. `connection` is the number to store in the
 /// message.
+///
+/// # Errors
+/// The message was truncated or malformed, or a read failed or timed out.
 pub fn read(from: &mut impl BufRead, connection: usize) -> Result<Option<Message>, ReadError> {
     if has_ended(from)? {
         return Ok(None);
--- a/crates/merlinreel-testkit/src/lib.rs
+++ b/crates/merlinreel-testkit/src/lib.rs
@@ -31,13 +31,13 @@
 pub use config::{config, free_address, full_list, instance, list_changes};
 pub use event_log::{Event, EventLog, LinkId, LogEntry, RequestId};
 pub use fault_plan::{Fault, FaultPlan, LimiterFault, LinkFault, PlannedFault, ServerFault};
-pub use http::{Message, ReadError};
+pub use http::{Message, ReadError, read as read_message};
 pub use load_client::{LoadClient, RequestPattern};
 pub use merlinreel_policy::EndpointState;
 pub use process::{ExitReport, Program};
 pub use scripted_server::{
-    CloseTiming, ConnectionEnd, Reaction, ScriptedServer, Trickle, TruncatedResponse, discovery,
-    holding_server, ok_response, response,
+    CloseTiming, ConnectionEnd, Piece, PiecesEnd, PiecewiseResponse, Reaction, ScriptedServer,
+    Trickle, TruncatedResponse, discovery, holding_server, ok_response, response,
 };
 pub use stub_discovery::StubDiscovery;
 pub use stub_server::{StubServer, StubServerConfig};
--- a/crates/merlinreel-testkit/src/process.rs
+++ b/crates/merlinreel-testkit/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::TEST_TIMEOUT;
 use crate::client::Client;
+use crate::scale::proc_file::kilobytes;
 use command_fds::{CommandFdExt, FdMapping};
 use serde_json::Value;
 use std::fs::File;
@@ -175,6 +176,15 @@
         Client::connect(self.address).expect("the program accepts a connection")
     }
 
+    /// The most memory that the process has had resident so far, in KiB.
+    ///
+    /// # Panics
+    /// The kernel does not report it, as after [`Program::wait`] has returned.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.child.id());
+        kilobytes(&status, "VmHWM:").expect("the peak memory of a running process")
+    }
+
     /// Sends a signal by its name, such as `-HUP`.
     ///
     /// # Panics
--- a/crates/merlinreel-testkit/src/scale.rs
+++ b/crates/merlinreel-testkit/src/scale.rs
@@ -15,7 +15,7 @@
 pub mod membership;
 mod meter;
 mod network;
-mod proc_file;
+pub(crate) mod proc_file;
 pub mod quotas;
 mod report;
 mod request;
--- a/crates/merlinreel-testkit/src/scripted_server.rs
+++ b/crates/merlinreel-testkit/src/scripted_server.rs
@@ -3,7 +3,7 @@
 use crate::TEST_TIMEOUT;
 use crate::http::{Message, read};
 use socket2::SockRef;
-use std::io::{self, BufReader, ErrorKind, Write};
+use std::io::{self, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -28,10 +28,39 @@
     Truncate(TruncatedResponse),
     /// Sends a response in small pieces and closes the connection after the last one.
     Trickle(Trickle),
+    /// Sends a response piece by piece.
+    Pieces(PiecewiseResponse),
     /// Sends no response and keeps the connection open.
     Hang,
 }
 
+/// A response that is sent piece by piece, and what follows the last piece.
+#[derive(Clone, Debug)]
+pub struct PiecewiseResponse {
+    /// The pieces, in their order.
+    pub pieces: Vec<Piece>,
+    /// What follows the last piece.
+    pub end: PiecesEnd,
+}
+
+/// A part of a response.
+#[derive(Clone, Debug)]
+pub struct Piece {
+    /// The pause before the piece is sent.
+    pub pause: Duration,
+    /// The text, sent as it is.
+    pub text: String,
+}
+
+/// What follows the last piece of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PiecesEnd {
+    /// The connection ends in this way.
+    Connection(ConnectionEnd),
+    /// Nothing is sent, and the connection stays open until the peer closes it.
+    Stall,
+}
+
 /// A truncated response, and how the connection ends after it.
 #[derive(Clone, Debug)]
 pub struct TruncatedResponse {
@@ -162,6 +191,13 @@
                 }
                 return result;
             }
+            Reaction::Pieces(response) => {
+                let result = send_pieces(&mut stream, &response);
+                if result.is_err() || response.end == PiecesEnd::Stall {
+                    let _ = closed_sender.send(connection);
+                }
+                return result;
+            }
             Reaction::Hang => {}
         }
     }
@@ -185,12 +221,43 @@
             thread::sleep(delay.saturating_sub(received.elapsed()));
         }
     }
-    match truncated.end {
-        ConnectionEnd::Reset => SockRef::from(&stream).set_linger(Some(Duration::ZERO)),
+    prepare_end(&stream, truncated.end)
+}
+
+/// Prepares how the connection ends when its last handle is dropped.
+fn prepare_end(stream: &TcpStream, end: ConnectionEnd) -> io::Result<()> {
+    match end {
+        ConnectionEnd::Reset => SockRef::from(stream).set_linger(Some(Duration::ZERO)),
         ConnectionEnd::Orderly => Ok(()),
     }
 }
 
+/// Sends the pieces and prepares the end of the connection. Fails if the peer closes the connection before the last piece.
+fn send_pieces(stream: &mut TcpStream, response: &PiecewiseResponse) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    for piece in &response.pieces {
+        stream.set_read_timeout(Some(piece.pause.max(MIN_LOOKUP_PAUSE)))?;
+        if is_closed_within_timeout(stream) {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
+        stream.write_all(piece.text.as_bytes())?;
+    }
+    match response.end {
+        PiecesEnd::Connection(end) => prepare_end(stream, end),
+        PiecesEnd::Stall => {
+            stream.set_read_timeout(None)?;
+            is_closed_within_timeout(stream);
+            Ok(())
+        }
+    }
+}
+
+/// Whether the peer closes the connection within the read timeout of the stream. The peer sends nothing meanwhile.
+fn is_closed_within_timeout(stream: &TcpStream) -> bool {
+    let read = (&*stream).read(&mut [0]);
+    !read.is_err_and(|error| matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
+}
+
 /// Waits until the peer process has read all written bytes.
 fn wait_until_read(stream: &TcpStream) -> io::Result<()> {
     let start = Instant::now();
--- a/crates/merlinreel/src/client/connection.rs
+++ b/crates/merlinreel/src/client/connection.rs
@@ -55,6 +55,8 @@
     pub partial_since: Option<Instant>,
     /// Since when a response has been waiting for the client to read more of it. `None` if no write is blocked.
     pub write_blocked_since: Option<Instant>,
+    /// Since when a streaming response has been waiting for its server to send more of it. `None` if none is.
+    pub waits_for_server_since: Option<Instant>,
 }
 
 impl ConnectionTimes {
@@ -64,6 +66,12 @@
         self.write_blocked_since
             .is_some_and(|since| since.elapsed() < limits.client.idle_timeout)
     }
+
+    /// Whether the server of a streaming response has stalled for so long that a shutdown no longer waits for it.
+    pub fn is_server_stalled(&self, limits: &Limits) -> bool {
+        self.waits_for_server_since
+            .is_some_and(|since| since.elapsed() >= limits.shutdown.max_server_pause)
+    }
 }
 
 /// Order of eviction: the connection with the lowest rank is evicted first.
@@ -96,6 +104,7 @@
                 idle_since: Instant::now(),
                 partial_since: None,
                 write_blocked_since: None,
+                waits_for_server_since: None,
             }),
             close_requested: Notify::new(),
             disconnect_event: Mutex::new(Some(disconnect_event)),
--- a/crates/merlinreel/src/client/in_flight.rs
+++ b/crates/merlinreel/src/client/in_flight.rs
@@ -8,6 +8,7 @@
 use crate::telemetry::metrics::ResponseOutcome;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 /// Reports on drop that the client has disconnected, unless disarmed.
 pub struct DisconnectGuard<'a> {
@@ -97,6 +98,10 @@
 }
 
 impl StreamObserver for StreamingGuard {
+    fn waits_for_server(&self, since: Option<Instant>) {
+        lock(&self.client_connection.times).waits_for_server_since = since;
+    }
+
     /// Counts the response's outcome: a response that was begun and not completed has failed.
     fn stream_ended(self: Box<Self>, end: StreamEnd) {
         let outcome = match end {
@@ -111,6 +116,7 @@
 
 impl Drop for StreamingGuard {
     fn drop(&mut self) {
+        self.waits_for_server(None);
         self.client_listener
             .complete_request(&self.client_connection);
     }
--- a/crates/merlinreel/src/client/shutdown.rs
+++ b/crates/merlinreel/src/client/shutdown.rs
@@ -33,7 +33,8 @@
 struct Remaining {
     /// Whether any connection is open.
     connections: bool,
-    /// Whether a request is in flight or a response waits for its client to read it.
+    /// Whether a request is in flight or a response waits for its client to read it. A response whose server has stalled
+    /// does not count.
     unfinished: bool,
 }
 
@@ -167,16 +168,20 @@
             .is_some_and(|at| at <= Instant::now());
         let mut remaining = Remaining {
             connections: false,
-            unfinished: self.in_flight() > 0,
+            unfinished: false,
         };
+        let mut stalled = 0;
         for client_connection in lock(&self.client_connections).values() {
             remaining.connections = true;
             if client_connection.can_shut_down(&self.limits, close_all_idle) {
                 client_connection.evict();
             }
             // The rest of a response may be waiting for a client that reads slowly.
-            remaining.unfinished |= lock(&client_connection.times).is_write_blocked(&self.limits);
+            let times = lock(&client_connection.times);
+            remaining.unfinished |= times.is_write_blocked(&self.limits);
+            stalled += usize::from(times.is_server_stalled(&self.limits));
         }
+        remaining.unfinished |= self.in_flight() > stalled;
         remaining
     }
 }
--- a/crates/merlinreel/src/client/tests.rs
+++ b/crates/merlinreel/src/client/tests.rs
@@ -44,6 +44,7 @@
         idle_since: ago(idle_s),
         partial_since: partial_s.map(ago),
         write_blocked_since: None,
+        waits_for_server_since: None,
     };
     Arc::new(client_connection)
 }
--- a/crates/merlinreel/src/config/limits.rs
+++ b/crates/merlinreel/src/config/limits.rs
@@ -108,6 +108,8 @@
     pub max_buffered_response_bytes: usize,
     /// Maximum size of a streaming response.
     pub max_streaming_bytes: u64,
+    /// Longest pause within a streaming response; it ends incomplete if its server sends nothing for longer.
+    pub max_streaming_pause: Duration,
     /// A connection that has been idle for this long is closed.
     pub idle_timeout: Duration,
     /// A server that closes a connection right after a response does so within this time; connections idle for longer are
@@ -165,6 +167,8 @@
     pub accept_for: Duration,
     /// The listening socket is closed before `accept_for` is over if no connection has been open for this long.
     pub quiet_period: Duration,
+    /// After the deadline of the shutdown, a streaming response whose server has sent nothing for this long is cut off.
+    pub max_server_pause: Duration,
     /// Pipelined requests are still answered for this long after the deadline of the shutdown.
     pub response_grace: Duration,
 }
@@ -326,6 +330,7 @@
             max_connections: budget.upstream_connections,
             max_buffered_response_bytes: budget.response_kb * 1024,
             max_streaming_bytes: 1 << 30,
+            max_streaming_pause: Duration::from_secs(10),
             idle_timeout: server_idle.mul_f64(POOLED_IDLE_FRACTION),
             settle_time: Duration::from_millis(25),
             health_check_timeout: Duration::from_millis(250),
@@ -379,6 +384,7 @@
             first_request_timeout: Duration::from_millis(400),
             accept_for: Duration::from_secs(1),
             quiet_period: Duration::from_millis(200),
+            max_server_pause: Duration::from_secs(1),
             response_grace: Duration::from_millis(100),
         }
     }
--- a/crates/merlinreel/src/upstream/exchange.rs
+++ b/crates/merlinreel/src/upstream/exchange.rs
@@ -119,9 +119,16 @@
         } = open;
         let memory = self.response_memory.clone();
         let max_bytes = self.limits.upstream.max_streaming_bytes;
+        let max_pause = self.limits.upstream.max_streaming_pause;
         let response = async {
             sender.ready().await?;
-            receive(sender.send_request(request).await?, &memory, max_bytes).await
+            receive(
+                sender.send_request(request).await?,
+                &memory,
+                max_bytes,
+                max_pause,
+            )
+            .await
         };
         let deadline = sleep_until_caught_up(attempt.deadline);
         let write_deadline =
--- a/crates/merlinreel/src/upstream/response.rs
+++ b/crates/merlinreel/src/upstream/response.rs
@@ -6,6 +6,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::oneshot;
 
@@ -62,6 +63,7 @@
 }
 
 /// Reads one response until it is complete or its body exceeds the buffer limit. At most `max_bytes` may be announced.
+/// A longer body ends incomplete if the server sends nothing for `max_pause`.
 ///
 /// # Errors
 ///
@@ -70,6 +72,7 @@
     response: Response<Incoming>,
     memory: &ResponseMemory,
     max_bytes: u64,
+    max_pause: Duration,
 ) -> Result<ReceivedResponse, ResponseError> {
     let (head, body) = response.into_parts();
     check_framing(&head, &body, max_bytes)?;
@@ -78,7 +81,7 @@
     let body = match memory.buffer(body).await? {
         BufferedBody::Complete(body) => ReceivedBody::Complete(body),
         BufferedBody::TooLong { first_part, rest } if head.status == StatusCode::OK => {
-            let (body, end) = StreamingBody::new(first_part, rest);
+            let (body, end) = StreamingBody::new(first_part, rest, max_pause);
             ReceivedBody::Streaming {
                 body: Box::new(body),
                 end,
--- a/crates/merlinreel/src/upstream/tests.rs
+++ b/crates/merlinreel/src/upstream/tests.rs
@@ -1,4 +1,5 @@
 mod idle_connections;
+mod streaming;
 mod wire;
 
 use super::idle_connections::{IdleConnection, IdleConnections, Reuse};
--- a/crates/merlinreel/tests/sockets/truncated_responses.rs
+++ b/crates/merlinreel/tests/sockets/truncated_responses.rs
@@ -2,6 +2,7 @@
 //! once more than [`BUFFERED_BYTES`] of its body have arrived. Truncated before that, it is a failed attempt that may have
 //! run; truncated later, the client must be able to tell that it is truncated.
 
+use crate::response_texts::{Class, Framing, chunks, long_body};
 use merlinreel_testkit::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -14,71 +15,11 @@
 const LONG_PART_BYTES: usize = 128 << 10;
 /// Length of a long body.
 const LONG_BYTES: usize = 300 << 10;
-/// Length of a chunk.
-const CHUNK_BYTES: usize = 4096;
 /// Remaining time of each request, and the latency objective of its class.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 const COMPLETE_BODY: &str = "the complete response";
 const TRUNCATED_BODY: &str = "one that breaks off";
 
-/// How the end of a response's body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length,
-    Chunked,
-    UntilClose,
-}
-
-impl Framing {
-    /// The head of a successful response with a body of this length.
-    fn head(self, length: usize) -> String {
-        let header = match self {
-            Framing::Length => format!("Content-Length: {length}\r\n"),
-            Framing::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
-            Framing::UntilClose => String::new(),
-        };
-        format!("HTTP/1.1 200 OK\r\nX-Kind: blue\r\n{header}\r\n")
-    }
-
-    /// A complete successful response, except for the close of its connection.
-    fn response(self, body: &str) -> String {
-        let head = self.head(body.len());
-        match self {
-            Framing::Length | Framing::UntilClose => head + body,
-            Framing::Chunked => head + &chunks(body) + "0\r\n\r\n",
-        }
-    }
-
-    /// The head and the first `part_bytes` bytes of the body, encoded.
-    fn partial_response(self, body: &str, part_bytes: usize) -> String {
-        let head = self.head(body.len());
-        match self {
-            Framing::Length | Framing::UntilClose => head + &body[..part_bytes],
-            Framing::Chunked => head + &chunks(&body[..part_bytes]),
-        }
-    }
-}
-
-/// Encodes a body as chunks, without the last chunk, which has size 0.
-fn chunks(body: &str) -> String {
-    let chunks = body
-        .as_bytes()
-        .chunks(CHUNK_BYTES)
-        .map(String::from_utf8_lossy);
-    chunks
-        .map(|chunk| format!("{:x}\r\n{chunk}\r\n", chunk.len()))
-        .collect()
-}
-
-/// A body without repetitions, so that a lost or duplicated part is detected.
-fn long_body(length: usize) -> String {
-    let mut body: String = (0..=length / 8)
-        .map(|number| format!("{number:07} "))
-        .collect();
-    body.truncate(length);
-    body
-}
-
 /// The position, by framing, at which a short response is truncated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BreakPoint {
@@ -113,23 +54,7 @@
     }
 }
 
-/// The request classes of [`config`], by idempotency.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Class {
-    Idempotent,
-    IdempotencyKey,
-    NonIdempotent,
-}
-
 impl Class {
-    fn name(self) -> &'static str {
-        match self {
-            Class::Idempotent => "look",
-            Class::IdempotencyKey => "put",
-            Class::NonIdempotent => "pay",
-        }
-    }
-
     /// The expected outcome if the first attempt's response is truncated before it is forwarded.
     fn after_truncated_attempt(self) -> Outcome {
         match self {
