A long response that its server gives slowly is no longer cut off

In classes that may be repeated the attempt was cancelled before that, as overdue.

Cause: over 64 KiB the first bytes are timed; the limiter timed the first 64 KiB. ResponseMemory::buffer held a response back until more than that had arrived, whatever its announced length, and the attempt's deadline in await_response ended the wait. The policy knew nothing of a response before its attempt had ended, so detect_overdue_attempts cancelled one that was arriving. With a deadline far away the beginning was held back for longer than 2 s.

Change: the policy decides when a response that is arriving is forwarded (request/response_forwarding.rs): one known to be long after a second or 50 ms before the deadline, once a byte of its body has come; one of unknown length from 8 KiB on while its server does not stall; a short one once it is complete. The connection reports what is arriving, and a long response is not overdue. It works because the length, not the buffer, now decides what the deadline ends. Latency is that of the first bytes, so the limiter's own hold does not count against a server.

The buffer's tests moved with it, with the same cases and bounds; ResponseMemory keeps the memory of complete responses alone.

--- a/crates/merlinreel-policy/src/events.rs
+++ b/crates/merlinreel-policy/src/events.rs
@@ -1,5 +1,6 @@
 //! Input: the events that [`crate::Limiter::process`] handles.
 
+use crate::model::arriving_body::ResponseProgress;
 use crate::model::attempt::{AttemptResult, LoadReport};
 use crate::model::endpoint::Endpoint;
 use crate::model::index::{RequestIndex, ServerIndex};
@@ -65,6 +66,8 @@
     pub counter_replies: Vec<CounterReply>,
     /// Attempts that have ended.
     pub attempt_results: Vec<AttemptResult>,
+    /// Attempts of whose response more has arrived.
+    pub response_progress: Vec<ResponseProgress>,
     /// Results of health checks; ignored, as this crate starts none.
     pub health_checks: Vec<HealthCheckResult>,
     /// Requests that have just arrived.
--- a/crates/merlinreel-policy/src/expiry/tests.rs
+++ b/crates/merlinreel-policy/src/expiry/tests.rs
@@ -19,11 +19,9 @@
     account(&mut limiter).charge(WindowNumber(0), used);
     if pending {
         let attempts = vec![PendingAttempt {
-            server: ServerIndex(0),
-            sent_at: at(1.0),
-            in_flight: true,
             cancelled: true,
             overdue: true,
+            ..PendingAttempt::new(ServerIndex(0), at(1.0))
         }];
         let objective_at = at(900.0);
         *limiter.requests.pending.slot(RequestIndex(0)) = Some(PendingRequest {
--- a/crates/merlinreel-policy/src/limiter.rs
+++ b/crates/merlinreel-policy/src/limiter.rs
@@ -107,6 +107,9 @@
         for result in &batch.attempt_results {
             self.handle_attempt_result(now, result, actions);
         }
+        for progress in &batch.response_progress {
+            completion::record_progress(now, progress, &mut self.servers, &mut self.requests);
+        }
         for &request in &batch.streaming {
             completion::response_started(now, request, &mut self.servers, &mut self.requests);
         }
--- a/crates/merlinreel-policy/src/model.rs
+++ b/crates/merlinreel-policy/src/model.rs
@@ -2,6 +2,7 @@
 //!
 //! Plain data that decides nothing; the input and the decisions are in [`crate::events`] and [`crate::actions`].
 
+pub mod arriving_body;
 pub mod attempt;
 pub mod endpoint;
 pub mod fleet;
--- a/crates/merlinreel-policy/src/request/completion.rs
+++ b/crates/merlinreel-policy/src/request/completion.rs
@@ -2,13 +2,14 @@
 
 use super::retry::{client_may_retry, may_attempt};
 use crate::actions::Actions;
+use crate::model::arriving_body::ResponseProgress;
 use crate::model::attempt::AttemptResult;
 use crate::model::index::RequestIndex;
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::reject_reason::RejectReason;
 use crate::model::request::RequestLimits;
 use crate::quota::table::QuotaTable;
-use crate::request_table::RequestTable;
+use crate::request_table::{ArrivingResponse, RequestTable};
 use crate::server::pool::ServerPool;
 use crate::time;
 use std::time::Duration;
@@ -91,6 +92,31 @@
     }
 }
 
+/// Handles the arrival of more of a response: the server counts as responding, and whether the attempt becomes overdue
+/// depends on the length of the response.
+pub fn record_progress(
+    now: Duration,
+    progress: &ResponseProgress,
+    servers: &mut ServerPool,
+    requests: &mut RequestTable,
+) {
+    let attempt = requests
+        .pending
+        .get_mut(progress.request)
+        .and_then(|pending| pending.attempts.get_mut(progress.attempt as usize))
+        .filter(|attempt| attempt.in_flight);
+    let Some(attempt) = attempt else {
+        return;
+    };
+    attempt.response = Some(ArrivingResponse {
+        length: progress.length,
+        progress_at: now,
+    });
+    if let Some(server) = servers.servers.get_mut(attempt.server) {
+        server.health.unanswered_since = now;
+    }
+}
+
 /// Ends a request that got no response: rejects it if the client may retry, else fails it. Units of a request that was
 /// never sent are refunded.
 pub fn reject_or_fail(
--- a/crates/merlinreel-policy/src/request/queue.rs
+++ b/crates/merlinreel-policy/src/request/queue.rs
@@ -148,13 +148,7 @@
             return;
         };
         pending.queued = false;
-        pending.attempts.push(PendingAttempt {
-            server,
-            sent_at: now,
-            in_flight: true,
-            cancelled: false,
-            overdue: false,
-        });
+        pending.attempts.push(PendingAttempt::new(server, now));
         if upstream.limit.in_flight == 0 {
             upstream.health.unanswered_since = now;
         }
--- a/crates/merlinreel-policy/src/request/tests.rs
+++ b/crates/merlinreel-policy/src/request/tests.rs
@@ -1,5 +1,6 @@
 mod admission;
 mod completion;
 mod queue;
+mod response_forwarding;
 mod retry;
 mod time_spent;
--- a/crates/merlinreel-policy/src/request_table.rs
+++ b/crates/merlinreel-policy/src/request_table.rs
@@ -1,5 +1,6 @@
 //! The requests in progress and their attempts. Nothing is decided here.
 
+use crate::model::arriving_body::BodyLength;
 use crate::model::attempt::AttemptResult;
 use crate::model::index::{RequestIndex, ServerIndex};
 use crate::model::request::Request;
@@ -20,6 +21,31 @@
     pub cancelled: bool,
     /// The response is late: the attempt no longer counts against the server's concurrency limit.
     pub overdue: bool,
+    /// The response that is arriving; `None` until a part of its body has arrived.
+    pub response: Option<ArrivingResponse>,
+}
+
+impl PendingAttempt {
+    /// An attempt that is being sent.
+    pub fn new(server: ServerIndex, sent_at: Duration) -> PendingAttempt {
+        PendingAttempt {
+            server,
+            sent_at,
+            in_flight: true,
+            cancelled: false,
+            overdue: false,
+            response: None,
+        }
+    }
+}
+
+/// What is known of a response that is arriving.
+#[derive(Clone, Copy, Debug)]
+pub struct ArrivingResponse {
+    /// How long its body will be.
+    pub length: BodyLength,
+    /// When it was last reported that more of it had arrived.
+    pub progress_at: Duration,
 }
 
 /// The first attempt to end that may have run the request; running the request again needs care from then on.
--- a/crates/merlinreel-policy/src/server/overdue_attempts.rs
+++ b/crates/merlinreel-policy/src/server/overdue_attempts.rs
@@ -3,10 +3,12 @@
 use super::pool::ServerPool;
 use super::pool_latency::PoolLatency;
 use crate::actions::Actions;
+use crate::model::arriving_body::BodyLength;
 use crate::model::index::RequestIndex;
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::request_class::Idempotency;
-use crate::request_table::{PendingRequest, RequestTable};
+use crate::request::response_forwarding::MAX_BODY_PAUSE;
+use crate::request_table::{PendingAttempt, PendingRequest, RequestTable};
 use crate::time;
 use std::time::Duration;
 
@@ -48,6 +50,8 @@
 /// overdue attempt no longer counts against the server's concurrency limit, as a server that is alive has finished the
 /// work by then. A failure is recorded for a server from which no response was received since the attempt was sent and
 /// for at least the overdue time without shortening. The attempt is cancelled if its request may be retried.
+///
+/// A long response takes longer than that to arrive: see [`overdue_at`].
 pub fn detect_overdue_attempts(
     now: Duration,
     config: &LimiterConfig,
@@ -61,6 +65,7 @@
     for pending in requests.pending.values_mut() {
         let may_cancel =
             config.request_limits.cancellation && may_run_elsewhere(now, config, pending);
+        let was_cut_off = has_cancelled_response(pending);
         let is_sample = is_latency_sample(pending.request.id);
         let timeout = if is_sample {
             full_timeout
@@ -68,7 +73,8 @@
             shortened_timeout
         };
         for (number, attempt) in (0..).zip(&mut pending.attempts) {
-            if !attempt.in_flight || attempt.overdue || now <= attempt.sent_at + timeout {
+            let is_due = overdue_at(attempt, timeout).is_some_and(|due| now > due);
+            if !attempt.in_flight || attempt.overdue || !is_due {
                 continue;
             }
             attempt.overdue = true;
@@ -82,13 +88,36 @@
                     server.record_failure(now);
                 }
             }
-            if may_cancel && !std::mem::replace(&mut attempt.cancelled, true) {
+            // Where a second response is not complete in time either, it is long rather than broken off.
+            let is_long = was_cut_off && attempt.response.is_some();
+            if may_cancel && !is_long && !std::mem::replace(&mut attempt.cancelled, true) {
                 actions.cancel_attempt(pending.request.id, number);
             }
         }
     }
 }
 
+/// When an attempt is overdue: the timeout after it was sent, or once its server has stalled while the response was
+/// arriving, if that is probably long. `None` if the response is long, as only its first bytes have to be in time.
+fn overdue_at(attempt: &PendingAttempt, timeout: Duration) -> Option<Duration> {
+    let Some(response) = attempt.response else {
+        return Some(attempt.sent_at + timeout);
+    };
+    match response.length {
+        BodyLength::Long => None,
+        BodyLength::ProbablyLong => Some(response.progress_at + timeout.max(MAX_BODY_PAUSE)),
+        BodyLength::Undetermined | BodyLength::Short => Some(attempt.sent_at + timeout),
+    }
+}
+
+/// Whether an attempt of the request was cancelled while its response was arriving.
+fn has_cancelled_response(pending: &PendingRequest) -> bool {
+    pending
+        .attempts
+        .iter()
+        .any(|attempt| attempt.cancelled && attempt.response.is_some())
+}
+
 /// Whether the request may be sent to another server after one of its attempts is cancelled.
 fn may_run_elsewhere(now: Duration, config: &LimiterConfig, pending: &PendingRequest) -> bool {
     let may_repeat = match config.classes[pending.request.class].idempotency {
--- a/crates/merlinreel-policy/src/server/tests/overdue_attempts.rs
+++ b/crates/merlinreel-policy/src/server/tests/overdue_attempts.rs
@@ -1,6 +1,10 @@
 use crate::events::EventBatch;
 use crate::limiter::Limiter;
+use crate::model::arriving_body::{BodyLength, ResponseProgress};
+use crate::model::index::{RequestIndex, ServerIndex};
 use crate::model::request_class::Idempotency;
+use crate::request::completion::record_progress;
+use crate::request_table::PendingAttempt;
 use crate::server::overdue_attempts::{detect_overdue_attempts, overdue_after};
 use crate::tests::helpers::*;
 use test_case::test_case;
@@ -63,3 +67,56 @@
     assert_eq!(run_at(4.0), (false, 0), "tick that is seconds late");
     assert_eq!(run_at(4.1), (true, 1), "tick after the late one");
 }
+
+fn report(limiter: &mut Limiter, now: f64, attempt: u32, length: BodyLength) {
+    let progress = ResponseProgress {
+        request: RequestIndex(0),
+        attempt,
+        length,
+    };
+    record_progress(
+        at(now),
+        &progress,
+        &mut limiter.servers,
+        &mut limiter.requests,
+    );
+}
+
+/// Guards against cutting off a long response that is still arriving: only its first bytes are timed. The attempt, sent at
+/// 1 s, would be overdue at 2.5 s at the latest. An attempt that is not overdue changes no statistics either.
+#[test_case(BodyLength::Long, 9.0 => (0, false) ; "a long response is never overdue")]
+#[test_case(BodyLength::ProbablyLong, 3.9 => (0, false) ; "a probably long response is not overdue while it arrives")]
+#[test_case(BodyLength::ProbablyLong, 9.0 => (1, true) ; "a probably long response that stalls is cancelled")]
+#[test_case(BodyLength::Undetermined, 3.9 => (1, true) ; "a response of which little has arrived is cancelled")]
+fn arriving_response_is_cancelled_only_if_it_may_be_short(
+    length: BodyLength,
+    now: f64,
+) -> (usize, bool) {
+    let mut limiter = with_attempt(Idempotency::Idempotent);
+    pending_mut(&mut limiter, 0).objective_at = at(20.0);
+    report(&mut limiter, 3.0, 0, length);
+    let loss_rate = limiter.latency.loss_rate;
+    let cancelled = detect(&mut limiter, now).lines.len();
+    assert_eq!(server_mut(&mut limiter, 0).health.consecutive_failures, 0);
+    (cancelled, limiter.latency.loss_rate > loss_rate)
+}
+
+/// Where two responses in a row are not complete in time, they are long rather than broken off: the second is left to
+/// arrive. An attempt without any response is still cancelled.
+#[test_case(Some(BodyLength::Undetermined) => 0 ; "a second response is arriving")]
+#[test_case(None => 1 ; "nothing of a second response has arrived")]
+fn second_arriving_response_is_not_cancelled(length: Option<BodyLength>) -> usize {
+    let mut limiter = with_attempt(Idempotency::Idempotent);
+    report(&mut limiter, 1.1, 0, BodyLength::Undetermined);
+    let pending = pending_mut(&mut limiter, 0);
+    pending.objective_at = at(20.0);
+    pending.attempts[0].cancelled = true;
+    pending.attempts[0].in_flight = false;
+    pending
+        .attempts
+        .push(PendingAttempt::new(ServerIndex(0), at(2.0)));
+    if let Some(length) = length {
+        report(&mut limiter, 2.1, 1, length);
+    }
+    detect(&mut limiter, 9.0).lines.len()
+}
--- a/crates/merlinreel/src/event_loop.rs
+++ b/crates/merlinreel/src/event_loop.rs
@@ -135,6 +135,10 @@
                 let result = self.executor.complete_attempt(completion);
                 batch.attempt_results.extend(result);
             }
+            Event::ResponseProgress(progress) => {
+                let progress = self.executor.locate_progress(progress);
+                batch.response_progress.extend(progress);
+            }
             Event::Reconfigure(settings) => self.reconfigure(*settings),
             Event::HealthCheck(result) => batch.health_checks.push(result),
             Event::EndpointUpdate(update) => {
--- a/crates/merlinreel/src/event_loop/action_executor.rs
+++ b/crates/merlinreel/src/event_loop/action_executor.rs
@@ -3,12 +3,12 @@
 use super::clock::Clock;
 use super::in_flight::{AttemptReference, InFlightAttempt, InFlightRequests};
 use crate::log;
-use crate::messages::{AttemptCompletion, AttemptId, ClientResponse};
+use crate::messages::{AttemptCompletion, AttemptId, AttemptProgress, ClientResponse};
 use crate::peers::PeerSocket;
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::{Attempt, ConnectionHandle, UpstreamPool};
 use merlinreel_policy::{Actions, AttemptOutcome, AttemptResult, LoadReport};
-use merlinreel_policy::{RejectReason, RequestIndex, ServerIndex};
+use merlinreel_policy::{RejectReason, RequestIndex, ResponseProgress, ServerIndex};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -143,6 +143,16 @@
         })
     }
 
+    /// Names the request of an attempt of whose response more has arrived. `None` if the attempt is not in flight.
+    pub fn locate_progress(&self, progress: AttemptProgress) -> Option<ResponseProgress> {
+        let attempt = self.attempts.get(&progress.attempt_id)?;
+        Some(ResponseProgress {
+            request: attempt.request,
+            attempt: attempt.number,
+            length: progress.length,
+        })
+    }
+
     /// Records an attempt that was handed to a connection.
     fn track_attempt(&mut self, attempt_id: AttemptId, attempt: InFlightAttempt) {
         self.last_attempt_id = attempt_id;
--- a/crates/merlinreel/src/messages.rs
+++ b/crates/merlinreel/src/messages.rs
@@ -7,7 +7,9 @@
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use merlinreel_discovery::DiscoveryUpdate;
-use merlinreel_policy::{AttemptOutcome, HealthCheckResult, LoadReport, PeerMessage, Request};
+use merlinreel_policy::{
+    AttemptOutcome, BodyLength, HealthCheckResult, LoadReport, PeerMessage, Request,
+};
 use merlinreel_settings::Settings;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -85,7 +87,8 @@
     pub attempt_id: AttemptId,
     /// How the attempt ended.
     pub outcome: AttemptOutcome,
-    /// Time from the decision to start the attempt until its result.
+    /// Time from the decision to start the attempt until its result, or until the first bytes of the body of a response that
+    /// is still arriving.
     pub latency: Duration,
     /// Quota units that the server charged; `None` if its response does not report them.
     pub units: Option<f64>,
@@ -97,6 +100,15 @@
     pub reusable: bool,
 }
 
+/// Reports that a part of an attempt's response has arrived, and that the rest has not.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptProgress {
+    /// Identifies the attempt.
+    pub attempt_id: AttemptId,
+    /// How long the response's body will be.
+    pub length: BodyLength,
+}
+
 /// An input of the event loop.
 #[derive(Debug)]
 pub enum Event {
@@ -104,6 +116,8 @@
     Request(Box<IncomingRequest>),
     /// The client of the request with this `request_id` has disconnected.
     ClientDisconnected(u64),
+    /// More of an attempt's response has arrived.
+    ResponseProgress(AttemptProgress),
     /// An attempt has ended.
     AttemptCompleted(AttemptCompletion),
     /// A health check has ended.
--- a/crates/merlinreel/src/net/late_deadline.rs
+++ b/crates/merlinreel/src/net/late_deadline.rs
@@ -32,6 +32,16 @@
     sleep(catch_up_time(deadline)).await;
 }
 
+/// Runs `future`, which waits for the remote end, until the deadline has passed and the data that had arrived by then was
+/// read. Returns `None` then.
+pub async fn before_deadline<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    tokio::select! {
+        biased;
+        output = future => Some(output),
+        () = sleep_until_caught_up(deadline) => None,
+    }
+}
+
 /// Runs `future`, which waits for the remote end, for at most the time `within` plus the time to read the data that had
 /// arrived by then.
 ///
--- a/crates/merlinreel/src/upstream.rs
+++ b/crates/merlinreel/src/upstream.rs
@@ -2,6 +2,7 @@
 //! attempt at a time, and this module never sends a request a second time on its own.
 
 mod attempt;
+mod body_buffer;
 mod connection;
 mod connection_task;
 mod exchange;
--- a/crates/merlinreel/src/upstream/connection_task.rs
+++ b/crates/merlinreel/src/upstream/connection_task.rs
@@ -9,7 +9,7 @@
 use crate::messages::{AttemptCompletion, AttemptId, Event};
 use merlinreel_policy::AttemptOutcome;
 use std::pin::pin;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use tokio::time::{sleep, sleep_until};
 
@@ -58,13 +58,18 @@
             drop(attempt);
             match result {
                 Ok(Exchange::Complete { response, reusable }) => {
-                    self.report(started, response, reusable).await;
+                    self.report(started, response, started.started.elapsed(), reusable)
+                        .await;
                     if !reusable {
                         return;
                     }
                 }
-                Ok(Exchange::Streaming { response, end }) => {
-                    self.report(started, response, false).await;
+                Ok(Exchange::Streaming {
+                    response,
+                    latency,
+                    end,
+                }) => {
+                    self.report(started, response, latency, false).await;
                     return drive_until_stream_ends(open, end).await;
                 }
                 Err(outcome) => {
@@ -148,14 +153,21 @@
     /// Reports an attempt that ended without a response.
     async fn report_outcome(&self, attempt: StartedAttempt, outcome: AttemptOutcome) {
         let response = DecodedResponse::without_response(outcome);
-        self.report(attempt, response, false).await;
+        self.report(attempt, response, attempt.started.elapsed(), false)
+            .await;
     }
 
-    async fn report(&self, attempt: StartedAttempt, response: DecodedResponse, reusable: bool) {
+    async fn report(
+        &self,
+        attempt: StartedAttempt,
+        response: DecodedResponse,
+        latency: Duration,
+        reusable: bool,
+    ) {
         let completion = AttemptCompletion {
             attempt_id: attempt.attempt_id,
             outcome: response.outcome,
-            latency: attempt.started.elapsed(),
+            latency,
             units: response.units,
             load: response.load,
             upstream_response: response.upstream_response,
--- a/crates/merlinreel/src/upstream/exchange.rs
+++ b/crates/merlinreel/src/upstream/exchange.rs
@@ -1,19 +1,22 @@
 //! Sends one request on a connection and reads its response, and derives the outcome of an attempt that is interrupted.
 
 use super::attempt::Attempt;
+use super::body_buffer::{BodyError, ResponseReader};
 use super::connection::UpstreamConnection;
 use super::message::{DecodedResponse, decode, encode, wire_length};
 use super::open_connection::{OpenConnection, WriteObserver};
-use super::response::{ReceivedBody, ReceivedResponse, receive};
+use super::response::{
+    ReceivedBody, ReceivedResponse, ResponseError, ResponseLimits, receive, within,
+};
 use crate::log;
 use crate::messages::streaming_body::StreamEnd;
-use crate::net::late_deadline::sleep_until_caught_up;
+use crate::messages::{AttemptId, AttemptProgress, Event};
 use crate::telemetry::metrics::class_of;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
-use merlinreel_policy::AttemptOutcome;
-use std::time::Instant;
+use merlinreel_policy::{AttemptOutcome, BodyLength};
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 use tokio::time::sleep_until;
 
@@ -30,6 +33,8 @@
     Streaming {
         /// The response; its body streams to the client.
         response: DecodedResponse,
+        /// Time from the start of the attempt until the first bytes of the body arrived.
+        latency: Duration,
         /// Receives how the body ended.
         end: oneshot::Receiver<StreamEnd>,
     },
@@ -98,7 +103,7 @@
                 .count_attempt(class_of(attempt.upstream_request.uri.path()));
         }
         match result {
-            Ok(response) => Ok(self.decode_response(response, open)),
+            Ok(response) => Ok(self.decode_response(response, open, attempt.started)),
             Err(interruption) => Err(interrupted_outcome(interruption, fully_written)),
         }
     }
@@ -117,23 +122,24 @@
             observer,
             ended,
         } = open;
-        let memory = self.response_memory.clone();
-        let max_bytes = self.limits.upstream.max_streaming_bytes;
-        let max_pause = self.limits.upstream.max_streaming_pause;
-        let response = async {
+        let limits = self.response_limits();
+        let report_progress = self.progress_reporter(attempt.attempt_id);
+        let reader = ResponseReader {
+            started: attempt.started,
+            deadline: attempt.deadline,
+            report_progress: &report_progress,
+        };
+        let head = async {
             sender.ready().await?;
-            receive(
-                sender.send_request(request).await?,
-                &memory,
-                max_bytes,
-                max_pause,
-            )
-            .await
+            sender.send_request(request).await
+        };
+        let response = async {
+            let response = within(attempt.deadline, head).await??;
+            receive(response, &limits, &reader).await
         };
-        let deadline = sleep_until_caught_up(attempt.deadline);
         let write_deadline =
             wait_for_missed_write_deadline(attempt.effective_write_deadline(), observer, range);
-        tokio::pin!(response, deadline, write_deadline);
+        tokio::pin!(response, write_deadline);
         let has_started = || observer.bytes_written() > range.start;
         loop {
             tokio::select! {
@@ -152,6 +158,9 @@
                     *ended = true;
                 }
                 response = &mut response => return response.map_err(|error| {
+                    if matches!(error, ResponseError::Body(BodyError::DeadlineExceeded)) {
+                        return AttemptOutcome::DeadlineExceeded;
+                    }
                     let stage = if observer.bytes_written() < range.end { "before" } else { "after" };
                     log!(
                         "server at {}: attempt failed {stage} its last byte was written: {error}; \
@@ -160,12 +169,37 @@
                     );
                     AttemptOutcome::ConnectionLost
                 }),
-                () = &mut deadline => return Err(AttemptOutcome::DeadlineExceeded),
             }
         }
     }
 
-    fn decode_response(&self, response: ReceivedResponse, open: &OpenConnection) -> Exchange {
+    fn response_limits(&self) -> ResponseLimits {
+        ResponseLimits {
+            memory: self.response_memory.clone(),
+            max_buffered_bytes: self.limits.max_body_bytes,
+            max_announced_bytes: self.limits.upstream.max_streaming_bytes,
+            max_pause: self.limits.upstream.max_streaming_pause,
+        }
+    }
+
+    /// Reports to the event loop that more of an attempt's response has arrived. While the queue is full, nothing is
+    /// reported.
+    fn progress_reporter(&self, attempt_id: AttemptId) -> impl Fn(BodyLength) + Sync + use<> {
+        let queue = self.queue.clone();
+        move |length| {
+            let _ = queue.try_send(Event::ResponseProgress(AttemptProgress {
+                attempt_id,
+                length,
+            }));
+        }
+    }
+
+    fn decode_response(
+        &self,
+        response: ReceivedResponse,
+        open: &OpenConnection,
+        started: Instant,
+    ) -> Exchange {
         let carries_load = self.responses_carry_load;
         match response.body {
             ReceivedBody::Complete(body) => {
@@ -175,8 +209,13 @@
                     reusable: response.is_self_delimited,
                 }
             }
-            ReceivedBody::Streaming { body, end } => Exchange::Streaming {
+            ReceivedBody::Streaming {
+                body,
+                end,
+                first_bytes_at,
+            } => Exchange::Streaming {
                 response: decode(response.head, Bytes::new(), Some(body), carries_load),
+                latency: first_bytes_at.saturating_duration_since(started),
                 end,
             },
         }
--- a/crates/merlinreel/src/upstream/tests.rs
+++ b/crates/merlinreel/src/upstream/tests.rs
@@ -105,10 +105,14 @@
     }
 }
 
+/// The next completion. Reports that a part of the response has arrived may precede it.
 async fn next_completion(events: &mut mpsc::Receiver<Event>) -> AttemptCompletion {
-    match timeout(LONG, events.recv()).await {
-        Ok(Some(Event::AttemptCompleted(completion))) => completion,
-        other => panic!("{other:?}"),
+    loop {
+        match timeout(LONG, events.recv()).await {
+            Ok(Some(Event::AttemptCompleted(completion))) => return completion,
+            Ok(Some(Event::ResponseProgress(_))) => {}
+            other => panic!("{other:?}"),
+        }
     }
 }
 
