A response that is probably long is held back for a second and a half

A body of unknown length that stops after 8 KiB or more may be a short one that has broken off. A response that is known to be long is held back for one second, as before.

A report of progress that the event loop's queue had no room for is now repeated when more arrives: a long response was reported once, so a lost report would have let its attempt be cancelled as overdue.

--- a/crates/merlinreel-policy/src/request/response_forwarding.rs
+++ b/crates/merlinreel-policy/src/request/response_forwarding.rs
@@ -10,6 +10,9 @@
 /// Longest time for which the beginning of a long response is held back. Clients may have to wait for bytes that have
 /// arrived for less than 2 s.
 const MAX_HOLD: Duration = Duration::from_secs(1);
+/// Longest time for which the beginning of a response is held back that is probably long: long enough to see whether its
+/// server stalls.
+const MAX_UNCERTAIN_HOLD: Duration = Duration::from_millis(1500);
 /// How long before the attempt's deadline the beginning of a long response is forwarded at the latest. A limiter that is
 /// busy still gets it to the client in time.
 const START_MARGIN: Duration = Duration::from_millis(50);
@@ -47,9 +50,7 @@
 
     /// Decides whether to forward the body before it is complete. `deadline` is the attempt's.
     pub fn forwarding(&self, now: Duration, deadline: Duration, buffer_bytes: u64) -> Forwarding {
-        let hold_until = deadline
-            .saturating_sub(START_MARGIN)
-            .min(self.first_bytes_at + MAX_HOLD);
+        let hold_until = self.hold_until(deadline, buffer_bytes);
         if self.received_bytes > buffer_bytes {
             Forwarding::Start
         } else if now < hold_until {
@@ -63,6 +64,18 @@
         }
     }
 
+    /// Until when the beginning of the body is held back, in case it breaks off and another attempt can be made.
+    fn hold_until(&self, deadline: Duration, buffer_bytes: u64) -> Duration {
+        let max_hold = match self.length(buffer_bytes) {
+            BodyLength::Long => MAX_HOLD,
+            BodyLength::ProbablyLong => MAX_UNCERTAIN_HOLD,
+            BodyLength::Undetermined | BodyLength::Short => return deadline,
+        };
+        deadline
+            .saturating_sub(START_MARGIN)
+            .min(self.first_bytes_at + max_hold)
+    }
+
     /// Whether the beginning of the body may be forwarded. The beginning of a body that is only probably long is not,
     /// once its server has stalled: the body may be a short one that has broken off.
     fn may_start(&self, now: Duration, buffer_bytes: u64) -> bool {
--- a/crates/merlinreel-policy/src/request/tests/response_forwarding.rs
+++ b/crates/merlinreel-policy/src/request/tests/response_forwarding.rs
@@ -39,11 +39,11 @@
 #[test_case(LONG, BUFFER_BYTES + 1, 0.3, 9.0 => Forwarding::Start ; "more than the buffer holds")]
 #[test_case(SHORT, BUFFER_BYTES - 1, 1.1, 9.0 => Forwarding::WaitUntil(at(9.0)) ; "short, however long it takes")]
 #[test_case(SHORT, BUFFER_BYTES - 1, 9.0, 9.0 => Forwarding::Abandon ; "short, at its deadline")]
-#[test_case(None, BUFFER_BYTES / 8, 1.1, 9.0 => Forwarding::Start ; "probably long, held back for long enough")]
-#[test_case(None, BUFFER_BYTES / 8, 1.4, 9.0 => Forwarding::WaitUntil(at(9.0)) ; "probably long, stalled")]
+#[test_case(None, BUFFER_BYTES / 8, 1.1, 9.0 => Forwarding::WaitUntil(at(1.6)) ; "probably long, held back for a second and a half")]
+#[test_case(None, BUFFER_BYTES / 8, 1.7, 9.0 => Forwarding::WaitUntil(at(9.0)) ; "probably long, stalled")]
 #[test_case(None, BUFFER_BYTES / 8, 0.5, 0.5 => Forwarding::Start ; "probably long, at its deadline")]
 #[test_case(None, BUFFER_BYTES / 8, 1.4, 1.4 => Forwarding::Abandon ; "probably long, stalled at its deadline")]
-#[test_case(None, 1, 1.1, 9.0 => Forwarding::WaitUntil(at(9.0)) ; "undetermined, until its deadline")]
+#[test_case(None, 1, 1.7, 9.0 => Forwarding::WaitUntil(at(9.0)) ; "undetermined, until its deadline")]
 #[test_case(None, 1, 0.5, 0.5 => Forwarding::Abandon ; "undetermined, at its deadline")]
 fn response_is_forwarded_before_its_end_only_if_it_is_long(
     announced_bytes: Option<u64>,
@@ -53,3 +53,14 @@
 ) -> Forwarding {
     body(announced_bytes, received_bytes).forwarding(at(now), at(deadline), BUFFER_BYTES)
 }
+
+/// A body that is probably long and still arriving is forwarded before its bytes have waited for 2 s.
+#[test]
+fn probably_long_response_that_is_arriving_is_forwarded() {
+    let arriving = ArrivingBody {
+        last_bytes_at: at(1.5),
+        ..body(None, BUFFER_BYTES / 8)
+    };
+    let decision = arriving.forwarding(at(1.6), at(9.0), BUFFER_BYTES);
+    assert_eq!(decision, Forwarding::Start);
+}
--- a/crates/merlinreel/src/upstream/body_buffer.rs
+++ b/crates/merlinreel/src/upstream/body_buffer.rs
@@ -54,8 +54,9 @@
     pub started: Instant,
     /// A response of which nothing may be forwarded by then has failed.
     pub deadline: Instant,
-    /// Is told how long the body will be when a part of it has arrived and the rest has not.
-    pub report_progress: &'a (dyn Fn(BodyLength) + Sync),
+    /// Is told how long the body will be when a part of it has arrived and the rest has not. Returns whether the report was
+    /// accepted; otherwise it is repeated later.
+    pub report_progress: &'a (dyn Fn(BodyLength) -> bool + Sync),
 }
 
 /// The part of a body that has arrived.
@@ -140,8 +141,9 @@
     }
 
     fn report_progress(&mut self, length: BodyLength) {
-        self.last_report = Some((length, Instant::now()));
-        (self.reader.report_progress)(length);
+        if (self.reader.report_progress)(length) {
+            self.last_report = Some((length, Instant::now()));
+        }
     }
 
     fn into_arriving<B>(self, rest: B) -> BufferedBody<B> {
--- a/crates/merlinreel/src/upstream/body_buffer/tests.rs
+++ b/crates/merlinreel/src/upstream/body_buffer/tests.rs
@@ -18,7 +18,7 @@
     let reader = ResponseReader {
         started,
         deadline: started + within,
-        report_progress: &|_| {},
+        report_progress: &|_| true,
     };
     buffer(body, 4, &reader).await
 }
@@ -193,7 +193,10 @@
         announced_bytes,
     };
     let started = Instant::now();
-    let report_progress = |length| reported.lock().expect("a lock").push(length);
+    let report_progress = |length| {
+        reported.lock().expect("a lock").push(length);
+        true
+    };
     let reader = ResponseReader {
         started,
         deadline: started + Duration::from_millis(300),
--- a/crates/merlinreel/src/upstream/exchange.rs
+++ b/crates/merlinreel/src/upstream/exchange.rs
@@ -182,15 +182,15 @@
         }
     }
 
-    /// Reports to the event loop that more of an attempt's response has arrived. While the queue is full, nothing is
-    /// reported.
-    fn progress_reporter(&self, attempt_id: AttemptId) -> impl Fn(BodyLength) + Sync + use<> {
+    /// Reports to the event loop that more of an attempt's response has arrived, unless its queue is full.
+    fn progress_reporter(
+        &self,
+        attempt_id: AttemptId,
+    ) -> impl Fn(BodyLength) -> bool + Sync + use<> {
         let queue = self.queue.clone();
         move |length| {
-            let _ = queue.try_send(Event::ResponseProgress(AttemptProgress {
-                attempt_id,
-                length,
-            }));
+            let progress = AttemptProgress { attempt_id, length };
+            queue.try_send(Event::ResponseProgress(progress)).is_ok()
         }
     }
 
