--- a/crates/merlinreel-policy/src/model/arriving_body.rs
+++ b/crates/merlinreel-policy/src/model/arriving_body.rs
@@ -1,4 +1,4 @@
-//! What is known of the body of a response while it is still arriving.
+//! The body of a response that is still arriving: its length, as far as known, and its progress.
 
 use super::index::RequestIndex;
 use std::time::Duration;
@@ -6,20 +6,20 @@
 /// How long a body will be, as far as that is known before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyLength {
-    /// It fits into the buffer: its announced length is small enough.
+    /// The announced length fits into the buffer.
     Short,
-    /// Its length is not announced, and so little of it has arrived that it may be of any length.
+    /// No length is announced, and so little has arrived that the body may be of any length.
     Undetermined,
-    /// Its length is not announced, and more of it has arrived than ordinary bodies have.
+    /// No length is announced, and more has arrived than ordinary bodies have.
     ProbablyLong,
-    /// It does not fit into the buffer: its announced length is too large, or too much of it has arrived.
+    /// The announced length does not fit into the buffer, or more has arrived than the buffer holds.
     Long,
 }
 
 /// The part of a successful response's body that has arrived. All times are on the same clock.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivingBody {
-    /// Its announced length in bytes; `None` if its end is marked by chunks or by the end of the connection.
+    /// Announced length in bytes; `None` if its end is marked by chunks or by the end of the connection.
     pub announced_bytes: Option<u64>,
     /// Number of bytes that have arrived; at least one.
     pub received_bytes: u64,
--- a/crates/merlinreel-policy/src/request/response_forwarding.rs
+++ b/crates/merlinreel-policy/src/request/response_forwarding.rs
@@ -21,7 +21,7 @@
 /// Longest pause within a body that is probably long; after a longer one its server counts as stalled.
 pub const MAX_BODY_PAUSE: Duration = Duration::from_secs(1);
 
-/// What to do with a response that is not complete yet.
+/// The decision on a response that is not complete yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Forwarding {
     /// Wait until this time or until more of it arrives, whichever is first, and decide again.
--- a/crates/merlinreel-policy/src/request_table.rs
+++ b/crates/merlinreel-policy/src/request_table.rs
@@ -39,10 +39,10 @@
     }
 }
 
-/// What is known of a response that is arriving.
+/// A response that is arriving.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivingResponse {
-    /// How long its body will be.
+    /// Length of its body, as far as known.
     pub length: BodyLength,
     /// When it was last reported that more of it had arrived.
     pub progress_at: Duration,
--- a/crates/merlinreel/src/config/limits.rs
+++ b/crates/merlinreel/src/config/limits.rs
@@ -1,33 +1,14 @@
 //! Limits of the sizes, counts and times of the limiter's sockets: computed at start from the configured descriptors, memory
 //! and settings, and grouped by the part of the program that uses them.
 
+mod budget;
+
+pub use budget::CapacityError;
+
+use budget::Budget;
 use merlinreel_policy::RequestClass;
 use merlinreel_settings::Settings;
 use std::time::Duration;
-use thiserror::Error;
-
-/// The configured number of descriptors or memory is too small.
-#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-pub enum CapacityError {
-    /// `limits.memory_mb` is too small for the minimum number of connections.
-    #[error("limits.memory_mb: {given} MiB is too little; give the limiter at least {needed} MiB")]
-    Memory {
-        /// Configured memory in MiB.
-        given: u32,
-        /// Memory needed, in MiB.
-        needed: usize,
-    },
-    /// `limits.sockets` is too small for the minimum number of connections.
-    #[error(
-        "limits.sockets: {given} descriptors are too few; raise the limit to at least {needed}"
-    )]
-    Sockets {
-        /// Configured number of descriptors.
-        given: u32,
-        /// Number of descriptors needed.
-        needed: usize,
-    },
-}
 
 /// All limits, by the part that uses them.
 #[derive(Clone, Debug, PartialEq)]
@@ -182,15 +163,6 @@
     pub call_timeout: Duration,
 }
 
-/// Descriptors for uses other than client and server connections: standard streams, poller, listeners, peer socket and
-/// discovery.
-const RESERVED_DESCRIPTORS: usize = 24;
-/// Memory of the program and the policy module, in MiB.
-const PROGRAM_MB: usize = 8;
-/// Memory that a connection and its buffers may use, in KiB.
-const CONNECTION_KB: usize = 64;
-/// Minimum number of client and server connections for the limiter to start.
-const MIN_CONNECTIONS: usize = 32;
 /// An endpoint list that is being received may take up to the memory divided by this.
 const LIST_MEMORY_DIVISOR: usize = 5;
 /// Size of an endpoint list that is allowed even if the memory is small.
@@ -208,58 +180,6 @@
 /// capped at this.
 const MAX_CLASS_DEADLINE: Duration = Duration::from_secs(3);
 
-/// Numbers of connections and sizes of buffers (in KiB), derived from the configured descriptors and memory.
-struct Budget {
-    connections: usize,
-    client_connections: usize,
-    upstream_connections: usize,
-    body_kb: usize,
-    response_kb: usize,
-}
-
-impl Budget {
-    fn new(sockets: u32, memory_mb: u32) -> Result<Budget, CapacityError> {
-        let memory_kb = memory_mb as usize * 1024;
-        let body_kb = memory_kb / 5;
-        let response_kb = body_kb / 2;
-        let by_memory = connections_by_memory(memory_mb, body_kb + response_kb)?;
-        let by_sockets = connections_by_sockets(sockets)?;
-        let connections = by_sockets.min(by_memory);
-        // A request uses one client connection and at most one server connection; clients also keep idle connections.
-        let upstream_connections = connections * 2 / 5;
-        Ok(Budget {
-            connections,
-            client_connections: connections - upstream_connections,
-            upstream_connections,
-            body_kb,
-            response_kb,
-        })
-    }
-}
-
-fn connections_by_memory(memory_mb: u32, buffered_kb: usize) -> Result<usize, CapacityError> {
-    // Buffered bodies and responses take 3/10 of the memory, so the program and its connections have 7/10 of it.
-    let needed_kb = (PROGRAM_MB * 1024 + MIN_CONNECTIONS * CONNECTION_KB) * 10 / 7;
-    let left_kb = (memory_mb as usize * 1024).checked_sub(PROGRAM_MB * 1024 + buffered_kb);
-    left_kb
-        .map(|kb| kb / CONNECTION_KB)
-        .filter(|&connections| connections >= MIN_CONNECTIONS)
-        .ok_or(CapacityError::Memory {
-            given: memory_mb,
-            needed: needed_kb.div_ceil(1024),
-        })
-}
-
-fn connections_by_sockets(sockets: u32) -> Result<usize, CapacityError> {
-    (sockets as usize)
-        .checked_sub(RESERVED_DESCRIPTORS)
-        .filter(|&left| left >= MIN_CONNECTIONS)
-        .ok_or(CapacityError::Sockets {
-            given: sockets,
-            needed: RESERVED_DESCRIPTORS + MIN_CONNECTIONS,
-        })
-}
-
 impl Limits {
     /// Computes the limits from the number of descriptors, the memory in MiB and the settings.
     ///
--- a/crates/merlinreel/src/config/limits/tests.rs
+++ b/crates/merlinreel/src/config/limits/tests.rs
@@ -1,3 +1,4 @@
+use super::budget::{PROGRAM_MB, RESERVED_DESCRIPTORS};
 use super::*;
 use merlinreel_settings::SettingsTree;
 use test_case::test_case;
--- a/crates/merlinreel/src/upstream/body_buffer.rs
+++ b/crates/merlinreel/src/upstream/body_buffer.rs
@@ -54,8 +54,8 @@
     pub started: Instant,
     /// A response of which nothing may be forwarded by then has failed.
     pub deadline: Instant,
-    /// Is told how long the body will be when a part of it has arrived and the rest has not. Returns whether the report was
-    /// accepted; otherwise it is repeated later.
+    /// Reports the length of the body, as far as known, when a part of it has arrived and the rest has not. Returns whether
+    /// the report was accepted; otherwise it is repeated later.
     pub report_progress: &'a (dyn Fn(BodyLength) -> bool + Sync),
 }
 
@@ -103,7 +103,7 @@
         arriving.last_bytes_at = now;
     }
 
-    /// What the policy decides now.
+    /// The policy's decision at the current time.
     fn forwarding(&self) -> Forwarding {
         let now = self.reader.started.elapsed();
         let deadline = self
@@ -187,7 +187,7 @@
     }
 }
 
-/// What the wait for the next frame of a body ended with.
+/// The end of the wait for the next frame of a body.
 enum NextFrame<E> {
     Frame(Result<Frame<Bytes>, E>),
     End,
--- a/crates/merlinreel/tests/sockets/long_responses.rs
+++ b/crates/merlinreel/tests/sockets/long_responses.rs
@@ -1,7 +1,10 @@
 //! Long responses that servers send slowly. Only their first bytes have to reach the client in its time: the limiter must
 //! neither cut off what the server still sends nor hold it back for 2 s. A short response must be complete in time.
 
-use crate::response_texts::{Class, Framing, chunks, long_body};
+use crate::responses::{
+    BUFFERED_BYTES, Class, Framing, PATIENT_TIMEOUT, chunks, long_body, patient_config,
+    react_to_first,
+};
 use merlinreel_testkit::*;
 use std::io::BufReader;
 use std::net::TcpStream;
@@ -9,8 +12,6 @@
 use std::time::{Duration, Instant};
 use test_case::{test_case, test_matrix};
 
-/// Maximum length of a short body.
-const BUFFERED_BYTES: usize = 64 << 10;
 /// Length of a long body.
 const LONG_BYTES: usize = 96 << 10;
 /// Length of each piece of a body but the first.
@@ -19,13 +20,13 @@
 const PAUSE: Duration = Duration::from_millis(300);
 /// Remaining time of a request whose response is not complete in time.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Remaining time of a request whose response is complete in time.
-const LONG_TIMEOUT: Duration = Duration::from_secs(15);
 /// Bytes that have arrived may be held back for less than this.
 const MAX_HOLD: Duration = Duration::from_secs(2);
 /// How much later than its deadline a client may receive a response before it is lost.
 const MAX_DELAY: Duration = Duration::from_millis(500);
 
+/// Body of the short responses that follow a scripted one.
+const DONE: &str = "done";
 /// Fast responses after which the limiter expects others to be as fast.
 const FAST_RESPONSES: u32 = 100;
 
@@ -96,37 +97,10 @@
     ScriptedServer::start(move |_| pace.complete())
 }
 
-/// Starts a server that reacts to the first request with `first` and to later ones with short complete responses.
-fn react_to_first(first: impl Fn() -> Reaction + Send + Sync + 'static) -> ScriptedServer {
-    let reacted = std::sync::atomic::AtomicBool::new(false);
-    ScriptedServer::start(move |_| {
-        if reacted.swap(true, std::sync::atomic::Ordering::SeqCst) {
-            ok_response()
-        } else {
-            first()
-        }
-    })
-}
-
 fn limiter_config(server: &ScriptedServer) -> serde_json::Value {
     config(&[instance("s-1", server.address, "up")])
 }
 
-/// A configuration in which requests may take up to [`LONG_TIMEOUT`].
-fn patient_config(server: &ScriptedServer) -> serde_json::Value {
-    let mut config = limiter_config(server);
-    for class in config["settings"]["classes"]
-        .as_array_mut()
-        .expect("classes")
-    {
-        (class["promiseS"], class["hardLimitS"]) = (
-            LONG_TIMEOUT.as_secs().into(),
-            (LONG_TIMEOUT.as_secs() * 2).into(),
-        );
-    }
-    config
-}
-
 fn request_text(class: Class, timeout: Duration) -> String {
     request(class.name(), 7, 1, &format!("{}m", timeout.as_millis()))
 }
@@ -329,7 +303,7 @@
 /// gets nothing of it.
 #[test_matrix([Class::Idempotent, Class::IdempotencyKey], [Framing::Length, Framing::Chunked, Framing::UntilClose])]
 fn short_response_that_stops_half_way_is_retried(class: Class, framing: Framing) {
-    let server = react_to_first(move || {
+    let server = react_to_first(DONE, move || {
         let pace = Pace {
             body_bytes: 1000,
             first_bytes: 500,
@@ -339,7 +313,7 @@
     });
     let program = Program::start(&limiter_config(&server));
     let response = fetch(&program, class, 3 * SHORT_TIMEOUT).complete();
-    assert_eq!((response.status(), response.body.as_str()), (200, "done"));
+    assert_eq!((response.status(), response.body.as_str()), (200, DONE));
     assert_eq!(server.requests.try_iter().count(), 2, "attempts");
 }
 
@@ -352,7 +326,7 @@
         ..Pace::of(framing)
     });
     let program = Program::start(&patient_config(&server));
-    fetch(&program, class, LONG_TIMEOUT)
+    fetch(&program, class, PATIENT_TIMEOUT)
         .assert_long(LONG_BYTES, MAX_HOLD.saturating_sub(MAX_DELAY));
     assert_eq!(server.requests.try_iter().count(), 1, "attempts");
 }
@@ -370,7 +344,7 @@
     end: ConnectionEnd,
 ) {
     let sent_bytes = 4 * PIECE_BYTES;
-    let server = react_to_first(move || {
+    let server = react_to_first(DONE, move || {
         let pace = Pace {
             pause: Duration::from_millis(400),
             ..Pace::of(framing)
@@ -401,11 +375,11 @@
     framing: Framing,
     end: ConnectionEnd,
 ) {
-    let server = react_to_first(move || {
+    let server = react_to_first(DONE, move || {
         Pace::of(framing).truncated(2 * PIECE_BYTES, PiecesEnd::Connection(end))
     });
     let program = Program::start(&patient_config(&server));
-    let response = fetch(&program, class, LONG_TIMEOUT).complete();
+    let response = fetch(&program, class, PATIENT_TIMEOUT).complete();
     let expected = match class {
         Class::Idempotent | Class::IdempotencyKey => (200, 2),
         Class::NonIdempotent => (502, 1),
@@ -538,12 +512,12 @@
 /// The client's connection carries further requests after a long response.
 #[test]
 fn connection_serves_a_request_after_a_slow_long_response() {
-    let server = react_to_first(|| Pace::of(Framing::Length).complete());
+    let server = react_to_first(DONE, || Pace::of(Framing::Length).complete());
     let program = Program::start(&limiter_config(&server));
     let mut client = program.client();
     let long = client.call(&request_text(Class::NonIdempotent, SHORT_TIMEOUT));
     assert_eq!(long.map(|response| response.body.len()), Some(LONG_BYTES));
-    assert_eq!(client.request("look", 8, 1).body, "done");
+    assert_eq!(client.request("look", 8, 1).body, DONE);
 }
 
 /// A long response that is ready at the deadline while the limiter is suspended across it is not cut off.
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -12,7 +12,7 @@
 mod operations;
 mod pipelining;
 mod request_bodies;
-mod response_texts;
+mod responses;
 mod settings_bounds;
 mod slow_clients;
 mod startup;
--- a/crates/merlinreel/tests/sockets/response_texts.rs
+++ b/crates/merlinreel/tests/sockets/responses.rs
@@ -1,5 +1,14 @@
-//! Texts of servers' responses in each framing, and the request classes of the test configuration.
+//! Servers' responses in each framing, the request classes of the test configuration, and a configuration with long
+//! deadlines.
 
+use merlinreel_testkit::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Maximum length of a body that the limiter buffers before it forwards the response.
+pub const BUFFERED_BYTES: usize = 64 << 10;
+/// Latency objective of the classes of [`patient_config`], and the remaining time of requests that wait for so long.
+pub const PATIENT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Length of a chunk.
 const CHUNK_BYTES: usize = 4096;
 
@@ -78,3 +87,35 @@
     body.truncate(length);
     body
 }
+
+/// Starts a server that reacts to the first request with `first_reaction`, and to later ones with complete responses that
+/// have the body `later_body`.
+pub fn react_to_first(
+    later_body: &'static str,
+    first_reaction: impl Fn() -> Reaction + Send + Sync + 'static,
+) -> ScriptedServer {
+    let answered = AtomicBool::new(false);
+    ScriptedServer::start(move |_| {
+        if answered.swap(true, Ordering::SeqCst) {
+            response("200 OK", "", later_body)
+        } else {
+            first_reaction()
+        }
+    })
+}
+
+/// A configuration with such long deadlines and key lifetimes that a busy machine prevents no attempt.
+pub fn patient_config(server: &ScriptedServer) -> serde_json::Value {
+    let mut config = config(&[instance("s-1", server.address, "up")]);
+    for class in config["settings"]["classes"]
+        .as_array_mut()
+        .expect("classes")
+    {
+        (class["promiseS"], class["hardLimitS"]) = (
+            PATIENT_TIMEOUT.as_secs().into(),
+            (PATIENT_TIMEOUT.as_secs() * 2).into(),
+        );
+    }
+    config["settings"]["classes"][1]["keyTtlS"] = PATIENT_TIMEOUT.as_secs().into();
+    config
+}
--- a/crates/merlinreel/tests/sockets/truncated_responses.rs
+++ b/crates/merlinreel/tests/sockets/truncated_responses.rs
@@ -2,21 +2,19 @@
 //! once more than [`BUFFERED_BYTES`] of its body have arrived. Truncated before that, it is a failed attempt that may have
 //! run; truncated later, the client must be able to tell that it is truncated.
 
-use crate::response_texts::{Class, Framing, chunks, long_body};
+use crate::responses::{
+    BUFFERED_BYTES, Class, Framing, PATIENT_TIMEOUT, chunks, long_body, patient_config,
+    react_to_first,
+};
 use merlinreel_testkit::*;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use test_case::{test_case, test_matrix};
 
-/// Maximum length of a body that the limiter buffers before it forwards the response.
-const BUFFERED_BYTES: usize = 64 << 10;
 /// Length of the part that is sent of a truncated long body: above [`BUFFERED_BYTES`], with a margin for bytes that the last
 /// read before the truncation does not deliver.
 const LONG_PART_BYTES: usize = 128 << 10;
 /// Length of a long body.
 const LONG_BYTES: usize = 300 << 10;
-/// Remaining time of each request, and the latency objective of its class.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 const COMPLETE_BODY: &str = "the complete response";
 const TRUNCATED_BODY: &str = "one that breaks off";
 
@@ -77,39 +75,11 @@
     attempts: usize,
 }
 
-/// Starts a server that reacts to the first request with `first_reaction`, and to later ones with complete responses.
-fn react_to_first(first_reaction: impl Fn() -> Reaction + Send + Sync + 'static) -> ScriptedServer {
-    let answered = AtomicBool::new(false);
-    ScriptedServer::start(move |_| {
-        if answered.swap(true, Ordering::SeqCst) {
-            response("200 OK", "", COMPLETE_BODY)
-        } else {
-            first_reaction()
-        }
-    })
-}
-
 /// Starts a server whose first response is `text`, after which the connection ends as given by `when` and `end`. Later
 /// responses are complete.
 fn close_after_first(text: String, when: CloseTiming, end: ConnectionEnd) -> ScriptedServer {
     let truncated = TruncatedResponse { text, when, end };
-    react_to_first(move || Reaction::Truncate(truncated.clone()))
-}
-
-/// A configuration with such long deadlines and key lifetimes that a busy machine prevents no attempt.
-fn patient_config(server: &ScriptedServer) -> serde_json::Value {
-    let mut config = config(&[instance("s-1", server.address, "up")]);
-    for class in config["settings"]["classes"]
-        .as_array_mut()
-        .expect("classes")
-    {
-        (class["promiseS"], class["hardLimitS"]) = (
-            REQUEST_TIMEOUT.as_secs().into(),
-            (REQUEST_TIMEOUT.as_secs() * 2).into(),
-        );
-    }
-    config["settings"]["classes"][1]["keyTtlS"] = REQUEST_TIMEOUT.as_secs().into();
-    config
+    react_to_first(COMPLETE_BODY, move || Reaction::Truncate(truncated.clone()))
 }
 
 fn start_limiter(server: &ScriptedServer) -> Program {
@@ -121,7 +91,7 @@
         class.name(),
         customer,
         1,
-        &format!("{}m", REQUEST_TIMEOUT.as_millis()),
+        &format!("{}m", PATIENT_TIMEOUT.as_millis()),
     )
 }
 
@@ -353,7 +323,7 @@
         interval: INTERVAL,
         pieces: PIECE_COUNT,
     };
-    let server = react_to_first(move || Reaction::Trickle(trickle.clone()));
+    let server = react_to_first(COMPLETE_BODY, move || Reaction::Trickle(trickle.clone()));
     let program = Program::start(&config(&[instance("s-1", server.address, "up")]));
     let mut client = program.client();
     client.send(&request("pay", 7, 1, "1200m"));
