--- a/review/src-2/kit.rs
+++ b/review/src-2/kit.rs
@@ -434,6 +434,10 @@
         Limiter { name: name.to_owned(), child, config: path, log, ended: None }
     }
 
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         record(&format!("{}: SIG{name}", self.name));
         let _ = Command::new("/bin/sh")
