--- a/review/src-2/case_8.rs
+++ b/review/src-2/case_8.rs
@@ -18,10 +18,11 @@
 /// How long the limiter stands still, and the time from one stall to the next.
 const STALL_MS: u64 = 1450;
 const EVERY_MS: u64 = 3800;
-const STALLS: usize = 6;
+/// Half of the servers are drained, one in each stall.
+const STALLS: usize = 5;
 const SERVERS: usize = 10;
 
-/// When the limiter was told that the server drains, in seconds of the record.
+/// When the limiter that stands still was told that the server drains, in seconds of the record.
 type Told = Arc<Mutex<Option<f64>>>;
 
 fn serve(name: &str, told: &Told, violations: &Mutex<Vec<String>>, stream: std::net::TcpStream) -> std::io::Result<()> {
@@ -57,15 +58,15 @@
 }
 
 /// A client that asks now and then, on one connection that it keeps.
-fn client(limiter: SocketAddr, customer: u64, pause_ms: u64, stop: &AtomicBool) {
+fn client(limiter: SocketAddr, customer: u64, rank: u32, pause_ms: u64, stop: &AtomicBool) {
     let mut connection: Option<Client> = None;
     while !stop.load(Ordering::Relaxed) {
         thread::sleep(ms(pause_ms));
         if connection.is_none() {
             connection = Client::connect(limiter).ok();
         }
-        let ask = Ask::get("record-lookup", "agenzia", customer, 2000);
-        record(&format!("client: {} sent", ask.id));
+        let ask = Ask { spread: 2, ..Ask::get("record-lookup", "agenzia", customer, 2000) };
+        record(&format!("client: {} sent to n{rank}", ask.id));
         match connection.as_mut().map(|client| client.call(&ask.wire(), ms(2500))) {
             Some(Ok(answer)) => {
                 record(&format!("client: {} answered {}", ask.id, answer.status()));
@@ -96,18 +97,28 @@
         instances.push(Instance::up(&name, address));
     }
     let discovery = Discovery::start(instances.clone());
+    // One of two limiters stands still; the other has an agent of its own and hears of each drain as well.
+    let other_discovery = Discovery::start(instances.clone());
     let listen = kit::free_address();
+    let other_listen = kit::free_address();
     let classes =
         [Class { name: "record-lookup", objective_s: 0.6, deadline_s: 2.0, worth: 1.0, late_share: 0.0, rest: SAFE }];
     let plans = [Plan { name: "agenzia", rate: 18.0, burst: 40.0, price: 1.8, ceiling: NO_CEILING }];
-    let site = Site { drain_grace_s: GRACE_S, ..Site::single(listen) };
+    let site = Site { drain_grace_s: GRACE_S, limiters: 2, ..Site::single(listen) };
     let mut limiter = Limiter::start("n0", &site.json(&discovery, &classes, &plans), None);
     limiter.wait_until_up(listen);
+    let other_site = Site { rank: 1, listen: other_listen, ..site };
+    let mut other = Limiter::start("n1", &other_site.json(&other_discovery, &classes, &plans), None);
+    other.wait_until_up(other_listen);
     let stop: Arc<AtomicBool> = Arc::default();
     let mut clients = Vec::new();
     for number in 0..50 {
         let stop = stop.clone();
-        clients.push(thread::spawn(move || client(listen, 100 + number, 400 + 13 * number, &stop)));
+        clients.push(thread::spawn(move || client(listen, 100 + number, 0, 400 + 13 * number, &stop)));
+    }
+    for number in 0..25 {
+        let stop = stop.clone();
+        clients.push(thread::spawn(move || client(other_listen, 100 + number, 1, 400 + 26 * number, &stop)));
     }
     thread::sleep(ms(4000));
     for number in 0..STALLS {
@@ -117,6 +128,7 @@
             thread::sleep(ms(100));
         }
         // The agent answers the open watch at once: the limiter is told.
+        other_discovery.set(Instance { lifecycle: "draining", ..instances[number].clone() });
         discovery.set(Instance { lifecycle: "draining", ..instances[number].clone() });
         thread::sleep(ms(2));
         *told[number].lock().unwrap() = Some(kit::at());
@@ -126,8 +138,8 @@
         }
         thread::sleep(ms(EVERY_MS).saturating_sub(began.elapsed()));
     }
-    if let Some(end) = limiter.ended() {
-        kit::cannot_run(&format!("the limiter ended: {end}"));
+    if let Some(end) = limiter.ended().or_else(|| other.ended()) {
+        kit::cannot_run(&format!("a limiter ended: {end}"));
     }
     stop.store(true, Ordering::Relaxed);
     for client in clients {
@@ -135,6 +147,7 @@
     }
     limiter.record_log();
     drop(limiter);
+    drop(other);
     let violations = violations.lock().unwrap().clone();
     std::process::exit(kit::verdict(&violations));
 }
