--- a/review/src-2/case_10.rs
+++ b/review/src-2/case_10.rs
@@ -1,4 +1,4 @@
-//! Case 10: servers write long answers in pieces, with a pause of 2.5 s between the first piece and the others.
+//! Case 10: servers write long answers in pieces, with a pause of 3.5 s between the first piece and the others.
 
 mod kit;
 mod settings;
@@ -15,7 +15,7 @@
 const LENGTH: usize = 200_000;
 /// Length of the first piece, and the pause after it.
 const FIRST: usize = 24_000;
-const PAUSE: Duration = Duration::from_millis(2500);
+const PAUSE: Duration = Duration::from_millis(3500);
 /// For so long the limiter may hold back what has arrived, with the 50 ms that every time limit is longer on sockets.
 const MAX_HELD_S: f64 = 2.05;
 
@@ -122,7 +122,7 @@
                 Err(error) => format!("no whole answer: {error}"),
             };
             record(&format!("client: {} {}: {text} after {took:?}", ask.id, ask.class));
-            thread::sleep(ms(3500));
+            thread::sleep(ms(5000));
             let given = given.lock().unwrap();
             let Some(attempts) = given.get(&ask.id) else { return };
             let Some(began) = attempts.began else { return };
