--- a/review/src-2/case_7.rs
+++ b/review/src-2/case_7.rs
@@ -40,10 +40,14 @@
     Ask { spread: 2, ..Ask::get("subset-fetch", "studio", customer, 1500) }
 }
 
-/// A client that asks 15 times a second, on one connection that it keeps or on a new one each time.
-fn press(limiter: SocketAddr, customer: u64, keeps: bool, stop: &AtomicBool) {
+/// A client that asks 15 times a second on one connection, which it keeps until the limiter closes it. One that `leaves` closes
+/// it after ten requests, and another client comes in its place with a connection of its own.
+fn press(limiter: SocketAddr, customer: u64, leaves: bool, stop: &AtomicBool) {
     let mut connection: Option<Client> = None;
-    while !stop.load(Ordering::Relaxed) {
+    for number in 1.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
         let next = Instant::now() + ms(66);
         if connection.is_none() {
             connection = Client::connect(limiter).ok();
@@ -53,7 +57,7 @@
         match answer {
             Some(Ok(answer)) => {
                 record(&format!("client: {} of {customer:x} answered {}", ask.id, answer.status()));
-                if answer.closes() || !keeps {
+                if answer.closes() || leaves && number % 10 == 0 {
                     connection = None;
                 }
             }
@@ -149,8 +153,8 @@
         for number in 0..10 {
             let (stop, limiter) = (stop.clone(), sockets[number % 2].local_addr().unwrap());
             clients.push(thread::spawn(move || {
-                thread::sleep(ms(6 * number as u64));
-                press(limiter, customer, number < 4, &stop);
+                thread::sleep(ms(106 * number as u64));
+                press(limiter, customer, number >= 4, &stop);
             }));
         }
     }
