--- a/review/src-2/case_8.rs
+++ b/review/src-2/case_8.rs
@@ -129,9 +129,19 @@
         }
         // The agent answers the open watch at once: the limiter is told.
         other_discovery.set(Instance { lifecycle: "draining", ..instances[number].clone() });
-        discovery.set(Instance { lifecycle: "draining", ..instances[number].clone() });
-        thread::sleep(ms(2));
-        *told[number].lock().unwrap() = Some(kit::at());
+        let generation = discovery.set(Instance { lifecycle: "draining", ..instances[number].clone() });
+        // Told is what the agent has written to the limiter, if its watch is open; else the time of the next answer.
+        let (agent, drains) = (discovery.clone(), told[number].clone());
+        thread::spawn(move || {
+            loop {
+                if let Some(at) = agent.told_at(generation) {
+                    record(&format!("the limiter that stands still was told of s-{number} at {at:.4}"));
+                    *drains.lock().unwrap() = Some(at);
+                    return;
+                }
+                thread::sleep(ms(1));
+            }
+        });
         thread::sleep(ms(STALL_MS).saturating_sub(began.elapsed()));
         if kit::trouble() {
             limiter.signal("CONT");
--- a/review/src-2/kit.rs
+++ b/review/src-2/kit.rs
@@ -220,6 +220,8 @@
     generation: u64,
     /// Each instance with the generation in which it changed last.
     instances: Vec<(u64, Instance)>,
+    /// Each answer that was written whole: its generation and the time in the record.
+    written: Vec<(u64, f64)>,
 }
 
 /// Discovery's agent: answers at once, and a watch once something newer exists or its time is over.
@@ -232,18 +234,19 @@
 impl Discovery {
     pub fn start(instances: Vec<Instance>) -> Discovery {
         let instances = instances.into_iter().map(|instance| (1, instance)).collect();
-        let state = Arc::new((Mutex::new(Listed { generation: 1, instances }), Condvar::new()));
+        let state = Arc::new((Mutex::new(Listed { generation: 1, instances, written: Vec::new() }), Condvar::new()));
         let shared = state.clone();
         let address = listen(move |stream| {
             let mut reader = BufReader::new(stream.try_clone()?);
             let mut stream = stream;
             while let Some(call) = read_message(&mut reader)? {
-                let text = respond(&shared, &call.start);
+                let (generation, text) = respond(&shared, &call.start);
                 write!(
                     stream,
                     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                     text.len()
                 )?;
+                shared.0.lock().unwrap().written.push((generation, at()));
             }
             Ok(())
         });
@@ -251,7 +254,7 @@
     }
 
     /// Adds an instance, or changes the one of that name. An instance with the lifecycle `removed` stays in changes only.
-    pub fn set(&self, instance: Instance) {
+    pub fn set(&self, instance: Instance) -> u64 {
         let (lock, changed) = &*self.state;
         let mut state = lock.lock().unwrap();
         state.generation += 1;
@@ -260,6 +263,13 @@
         state.instances.retain(|(_, known)| known.name != instance.name);
         state.instances.push((generation, instance));
         changed.notify_all();
+        generation
+    }
+
+    /// When the limiter was told of this generation: the time in the record at which it was written. `None` before.
+    pub fn told_at(&self, generation: u64) -> Option<f64> {
+        let state = self.state.0.lock().unwrap();
+        state.written.iter().find(|(written, _)| *written >= generation).map(|(_, at)| *at)
     }
 
     /// The whole list, as a limiter finds it in its configuration.
@@ -278,12 +288,12 @@
     format!(r#"{{"generation":{},"reset":true,"instances":[{}]}}"#, state.generation, list.join(","))
 }
 
-fn respond((lock, changed): &(Mutex<Listed>, Condvar), start: &str) -> String {
+fn respond((lock, changed): &(Mutex<Listed>, Condvar), start: &str) -> (u64, String) {
     let number = |name: &str| -> Option<u64> {
         start.split(name).nth(1)?.split(['&', ' ']).next()?.parse().ok()
     };
     let mut state = lock.lock().unwrap();
-    let Some(after) = number("after=") else { return whole(&state) };
+    let Some(after) = number("after=") else { return (state.generation, whole(&state)) };
     let until = Instant::now() + ms(number("wait_ms=").unwrap_or(0).min(60_000));
     while state.generation <= after {
         let left = until.saturating_duration_since(Instant::now());
@@ -293,7 +303,7 @@
         state = changed.wait_timeout(state, left).unwrap().0;
     }
     if after > state.generation {
-        return whole(&state);
+        return (state.generation, whole(&state));
     }
     let changes: Vec<String> = state
         .instances
@@ -301,7 +311,8 @@
         .filter(|(generation, _)| *generation > after)
         .map(|(_, instance)| instance.json())
         .collect();
-    format!(r#"{{"generation":{},"reset":false,"instances":[{}]}}"#, state.generation, changes.join(","))
+    let text = format!(r#"{{"generation":{},"reset":false,"instances":[{}]}}"#, state.generation, changes.join(","));
+    (state.generation, text)
 }
 
 /// A client's connection to a limiter.
