--- a/review/src-2/case_7.rs
+++ b/review/src-2/case_7.rs
@@ -53,6 +53,7 @@
             connection = Client::connect(limiter).ok();
         }
         let ask = ask_customer(customer);
+        record(&format!("client: {} of {customer:x} sent", ask.id));
         let answer = connection.as_mut().map(|client| client.call(&ask.wire(), ms(2000)));
         match answer {
             Some(Ok(answer)) => {
@@ -112,6 +113,7 @@
                 }
                 thread::sleep(ms(20));
                 stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")?;
+                record(&format!("{name}: {id} ran"));
             }
             Ok(())
         })
--- a/review/src-2/case_8.rs
+++ b/review/src-2/case_8.rs
@@ -54,6 +54,7 @@
         record(&format!("{name}: {id} began"));
         thread::sleep(ms(80));
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")?;
+        record(&format!("{name}: {id} ran"));
     }
 }
 
--- a/review/src-2/case_9.rs
+++ b/review/src-2/case_9.rs
@@ -45,6 +45,7 @@
             connection = Client::connect(limiter).ok();
         }
         let ask = make();
+        record(&format!("client: {} {} of {:x} sent", ask.id, ask.class, ask.customer));
         match connection.as_mut().map(|client| client.call(&ask.wire(), ms(ask.remaining_ms + 500))) {
             Some(Ok(answer)) => {
                 record(&format!("client: {} {} of {:x} answered {}", ask.id, ask.class, ask.customer, answer.status()));
@@ -107,6 +108,7 @@
                 changed.notify_one();
                 held.fetch_sub(1, Ordering::Relaxed);
                 stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")?;
+                record(&format!("{name}: {id} ran"));
             }
             Ok(())
         })
