Forward a long response of unknown length although its server pauses

Cause: ArrivingBody::forwarding let a body of unknown length start only if its server had sent something in the last second; after a longer pause it was held back until the deadline and abandoned. Beside it: after a cancel as overdue the second attempt's response was held back anew, together for over 2 s; and a cancel was made where the objective left no time for a retry, so that it lost the request itself.

Change: from 8 KiB on such a body is forwarded at the end of its hold, whatever its server's pauses. The hold is 1.75 s, so that a cancel as overdue (1.5 s at the latest) still comes first and a short one that stalls is requested again; the holds of both attempts count together. A stalled response that is probably long is cancelled only if another attempt has time and need not wait.

--- a/crates/merlinreel-policy/src/model/arriving_body.rs
+++ b/crates/merlinreel-policy/src/model/arriving_body.rs
@@ -16,7 +16,7 @@
     Long,
 }
 
-/// The part of a successful response's body that has arrived. All times are on the same clock.
+/// The part of a successful response's body that has arrived. All times are counted from the start of its attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivingBody {
     /// Announced length in bytes; `None` if its end is marked by chunks or by the end of the connection.
@@ -25,8 +25,9 @@
     pub received_bytes: u64,
     /// When the first bytes arrived.
     pub first_bytes_at: Duration,
-    /// When the latest bytes arrived.
-    pub last_bytes_at: Duration,
+    /// How long before the attempt's start the first bytes of a response to an earlier attempt of the same request arrived;
+    /// `None` if there was no such response.
+    pub earlier_response_age: Option<Duration>,
 }
 
 /// Reports that more of the body of a successful response has arrived, which is not complete yet.
--- a/crates/merlinreel-policy/src/request/response_forwarding.rs
+++ b/crates/merlinreel-policy/src/request/response_forwarding.rs
@@ -10,16 +10,14 @@
 /// Longest time for which the beginning of a long response is held back. Clients may have to wait for bytes that have
 /// arrived for less than 2 s.
 const MAX_HOLD: Duration = Duration::from_secs(1);
-/// Longest time for which the beginning of a response is held back that is probably long: long enough to see whether its
-/// server stalls.
-const MAX_UNCERTAIN_HOLD: Duration = Duration::from_millis(1500);
+/// Longest time for which the beginning of a response is held back that is probably long. An attempt whose response is
+/// cancelled as overdue, because the response may be short, is cancelled before that.
+const MAX_UNCERTAIN_HOLD: Duration = Duration::from_millis(1750);
 /// How long before the attempt's deadline the beginning of a long response is forwarded at the latest. A limiter that is
 /// busy still gets it to the client in time.
 const START_MARGIN: Duration = Duration::from_millis(50);
 /// A body of unknown length is probably long once this fraction of the buffer has arrived; ordinary bodies are smaller.
 const PROBABLY_LONG_BUFFER_FRACTION: u64 = 8;
-/// Longest pause within a body that is probably long; after a longer one its server counts as stalled.
-pub const MAX_BODY_PAUSE: Duration = Duration::from_secs(1);
 
 /// The decision on a response that is not complete yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,40 +47,36 @@
     }
 
     /// Decides whether to forward the body before it is complete. `deadline` is the attempt's.
+    ///
+    /// A body that is probably long is forwarded in time however long its server pauses: what the server still gives must
+    /// not be cut off, and a client can tell if the rest does not follow.
     pub fn forwarding(&self, now: Duration, deadline: Duration, buffer_bytes: u64) -> Forwarding {
-        let hold_until = self.hold_until(deadline, buffer_bytes);
-        if self.received_bytes > buffer_bytes {
-            Forwarding::Start
-        } else if now < hold_until {
-            Forwarding::WaitUntil(hold_until)
-        } else if self.may_start(now, buffer_bytes) {
-            Forwarding::Start
-        } else if now < deadline {
-            Forwarding::WaitUntil(deadline)
-        } else {
-            Forwarding::Abandon
+        match self.start_at(deadline, buffer_bytes) {
+            _ if self.received_bytes > buffer_bytes => Forwarding::Start,
+            Some(start_at) if now < start_at => Forwarding::WaitUntil(start_at),
+            Some(_) => Forwarding::Start,
+            None if now < deadline => Forwarding::WaitUntil(deadline),
+            None => Forwarding::Abandon,
         }
     }
 
-    /// Until when the beginning of the body is held back, in case it breaks off and another attempt can be made.
-    fn hold_until(&self, deadline: Duration, buffer_bytes: u64) -> Duration {
+    /// When the beginning of the body is forwarded; until then it is held back, in case it breaks off and another attempt
+    /// can be made. `None` if the body counts as short: it is forwarded only once it is complete.
+    fn start_at(&self, deadline: Duration, buffer_bytes: u64) -> Option<Duration> {
         let max_hold = match self.length(buffer_bytes) {
             BodyLength::Long => MAX_HOLD,
             BodyLength::ProbablyLong => MAX_UNCERTAIN_HOLD,
-            BodyLength::Undetermined | BodyLength::Short => return deadline,
+            // Two responses in a row that take so long are long rather than broken off.
+            BodyLength::Undetermined if self.earlier_response_age.is_some() => MAX_UNCERTAIN_HOLD,
+            BodyLength::Undetermined | BodyLength::Short => return None,
         };
-        deadline
-            .saturating_sub(START_MARGIN)
-            .min(self.first_bytes_at + max_hold)
-    }
-
-    /// Whether the beginning of the body may be forwarded. The beginning of a body that is only probably long is not,
-    /// once its server has stalled: the body may be a short one that has broken off.
-    fn may_start(&self, now: Duration, buffer_bytes: u64) -> bool {
-        match self.length(buffer_bytes) {
-            BodyLength::Long => true,
-            BodyLength::ProbablyLong => now < self.last_bytes_at + MAX_BODY_PAUSE,
-            BodyLength::Undetermined | BodyLength::Short => false,
-        }
+        let held_until = self.first_bytes_at + max_hold;
+        let latest = deadline.saturating_sub(START_MARGIN).min(held_until);
+        let start_at = match self.earlier_response_age {
+            // The client has been waiting for bytes since those of the cancelled attempt arrived.
+            Some(age) => latest.min(MAX_UNCERTAIN_HOLD.saturating_sub(age)),
+            None => latest,
+        };
+        Some(start_at)
     }
 }
--- a/crates/merlinreel-policy/src/server/overdue_attempts.rs
+++ b/crates/merlinreel-policy/src/server/overdue_attempts.rs
@@ -7,7 +7,6 @@
 use crate::model::index::RequestIndex;
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::request_class::Idempotency;
-use crate::request::response_forwarding::MAX_BODY_PAUSE;
 use crate::request_table::{PendingAttempt, PendingRequest, RequestTable};
 use crate::time;
 use std::time::Duration;
@@ -27,6 +26,10 @@
 const LOSS_RATE_GAIN: f64 = 0.02;
 /// One request in this many is a latency sample.
 const LATENCY_SAMPLE_INTERVAL: u32 = 4;
+/// Longest pause within a body that is probably long; after a longer one its attempt is overdue.
+const MAX_BODY_PAUSE: Duration = Duration::from_secs(1);
+/// Number of typical latencies that have to be left for another attempt if a response is cancelled while it is arriving.
+const RETRY_TYPICAL_LATENCIES: f64 = 2.0;
 /// A request with an idempotency key is retried only within the key's lifetime divided by this.
 const KEY_LIFETIME_DIVISOR: u32 = 2;
 
@@ -51,7 +54,9 @@
 /// work by then. A failure is recorded for a server from which no response was received since the attempt was sent and
 /// for at least the overdue time without shortening. The attempt is cancelled if its request may be retried.
 ///
-/// A long response takes longer than that to arrive: see [`overdue_at`].
+/// A long response takes longer than that to arrive: see [`overdue_at`]. One that is probably long is given up only if
+/// there is time for another attempt, which would wait behind the requests in the queue. Where a second response is not
+/// complete in time either, it is long rather than broken off.
 pub fn detect_overdue_attempts(
     now: Duration,
     config: &LimiterConfig,
@@ -62,9 +67,12 @@
 ) {
     let shortened_timeout = overdue_after(latency.typical_seconds, latency.loss_rate);
     let full_timeout = overdue_after(latency.typical_seconds, 0.0);
+    let retry_time = time::from_seconds(latency.typical_seconds * RETRY_TYPICAL_LATENCIES);
+    let has_queue = !requests.queue.is_empty();
     for pending in requests.pending.values_mut() {
         let may_cancel =
             config.request_limits.cancellation && may_run_elsewhere(now, config, pending);
+        let may_retry = !has_queue && now + retry_time < pending.objective_at;
         let was_cut_off = has_cancelled_response(pending);
         let is_sample = is_latency_sample(pending.request.id);
         let timeout = if is_sample {
@@ -88,9 +96,10 @@
                     server.record_failure(now);
                 }
             }
-            // Where a second response is not complete in time either, it is long rather than broken off.
-            let is_long = was_cut_off && attempt.response.is_some();
-            if may_cancel && !is_long && !std::mem::replace(&mut attempt.cancelled, true) {
+            let is_kept = attempt.response.is_some_and(|response| {
+                was_cut_off || response.length == BodyLength::ProbablyLong && !may_retry
+            });
+            if may_cancel && !is_kept && !std::mem::replace(&mut attempt.cancelled, true) {
                 actions.cancel_attempt(pending.request.id, number);
             }
         }
--- a/crates/merlinreel-policy/src/server/tests/overdue_attempts.rs
+++ b/crates/merlinreel-policy/src/server/tests/overdue_attempts.rs
@@ -120,3 +120,24 @@
     }
     detect(&mut limiter, 9.0).lines.len()
 }
+
+/// Guards against giving up a response that is probably long where its request would then be rejected: the objective is too
+/// close for another attempt, or other requests wait for servers already.
+#[test_case(BodyLength::ProbablyLong, 20.0, false => 1 ; "another attempt has time and need not wait")]
+#[test_case(BodyLength::ProbablyLong, 9.1, false => 0 ; "the objective is too close")]
+#[test_case(BodyLength::ProbablyLong, 20.0, true => 0 ; "other requests are queued")]
+#[test_case(BodyLength::Undetermined, 9.1, true => 1 ; "a response of which little has arrived is given up")]
+fn stalled_response_is_cancelled_only_if_another_attempt_can_follow(
+    length: BodyLength,
+    objective: f64,
+    others_wait: bool,
+) -> usize {
+    let mut limiter = with_attempt(Idempotency::Idempotent);
+    limiter.latency.typical_seconds = 0.1;
+    pending_mut(&mut limiter, 0).objective_at = at(objective);
+    report(&mut limiter, 3.0, 0, length);
+    if others_wait {
+        limiter.requests.queue.push(RequestIndex(1));
+    }
+    detect(&mut limiter, 9.0).lines.len()
+}
--- a/crates/merlinreel/src/event_loop.rs
+++ b/crates/merlinreel/src/event_loop.rs
@@ -167,6 +167,7 @@
             response_sender: Some(incoming.response_sender),
             next_attempt_number: 0,
             attempts: Vec::new(),
+            cancelled_response_began_at: None,
         });
         batch.requests.push(Request {
             id: index,
--- a/crates/merlinreel/src/event_loop/action_executor.rs
+++ b/crates/merlinreel/src/event_loop/action_executor.rs
@@ -144,8 +144,9 @@
     }
 
     /// Names the request of an attempt of whose response more has arrived. `None` if the attempt is not in flight.
-    pub fn locate_progress(&self, progress: AttemptProgress) -> Option<ResponseProgress> {
-        let attempt = self.attempts.get(&progress.attempt_id)?;
+    pub fn locate_progress(&mut self, progress: AttemptProgress) -> Option<ResponseProgress> {
+        let attempt = self.attempts.get_mut(&progress.attempt_id)?;
+        attempt.response_began_at.get_or_insert(self.now);
         Some(ResponseProgress {
             request: attempt.request,
             attempt: attempt.number,
@@ -209,6 +210,9 @@
             started: self.now,
             deadline: in_flight.attempt_deadline(response_margin),
             write_deadline: within.map(|within| self.now + within),
+            earlier_response_age: in_flight
+                .cancelled_response_began_at
+                .map(|began_at| self.now.saturating_duration_since(began_at)),
         };
         match self.send_attempt(server, attempt) {
             Some(connection) => self.track_attempt(
@@ -218,6 +222,7 @@
                     number,
                     server,
                     connection,
+                    response_began_at: None,
                 },
             ),
             None => self.report_not_sent(request, number, server),
@@ -251,6 +256,9 @@
         };
         if let Some(attempt) = self.attempts.get(&attempt_id) {
             attempt.connection.cancel(attempt_id);
+            in_flight.cancelled_response_began_at = in_flight
+                .cancelled_response_began_at
+                .or(attempt.response_began_at);
         }
     }
 
--- a/crates/merlinreel/src/event_loop/in_flight.rs
+++ b/crates/merlinreel/src/event_loop/in_flight.rs
@@ -18,6 +18,8 @@
     pub server: ServerIndex,
     /// The connection that carries the attempt.
     pub connection: ConnectionHandle,
+    /// When it was first reported that a part of the response has arrived that is not known to be short.
+    pub response_began_at: Option<Instant>,
 }
 
 /// Refers from a request to one of its attempts in flight.
@@ -43,6 +45,8 @@
     pub next_attempt_number: u32,
     /// Attempts in flight.
     pub attempts: Vec<AttemptReference>,
+    /// When the response of the first attempt began that was cancelled while its response was arriving.
+    pub cancelled_response_began_at: Option<Instant>,
 }
 
 impl InFlightRequest {
--- a/crates/merlinreel/src/upstream/attempt.rs
+++ b/crates/merlinreel/src/upstream/attempt.rs
@@ -3,7 +3,7 @@
 use crate::messages::{AttemptId, UpstreamRequest};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// One attempt to send a request to a server.
@@ -19,6 +19,9 @@
     pub deadline: Instant,
     /// An attempt whose last byte has not been written by this time is abandoned; `None` where only `deadline` applies.
     pub write_deadline: Option<Instant>,
+    /// How long before `started` the first bytes of a response to an earlier attempt of the same request arrived; `None` if
+    /// there was no such response.
+    pub earlier_response_age: Option<Duration>,
 }
 
 impl Attempt {
--- a/crates/merlinreel/src/upstream/body_buffer.rs
+++ b/crates/merlinreel/src/upstream/body_buffer.rs
@@ -54,6 +54,9 @@
     pub started: Instant,
     /// A response of which nothing may be forwarded by then has failed.
     pub deadline: Instant,
+    /// How long before `started` the first bytes of a response to an earlier attempt of the same request arrived; `None` if
+    /// there was no such response.
+    pub earlier_response_age: Option<Duration>,
     /// Reports the length of the body, as far as known, when a part of it has arrived and the rest has not. Returns whether
     /// the report was accepted; otherwise it is repeated later.
     pub report_progress: &'a (dyn Fn(BodyLength) -> bool + Sync),
@@ -97,10 +100,9 @@
             announced_bytes: self.announced_bytes,
             received_bytes: 0,
             first_bytes_at: now,
-            last_bytes_at: now,
+            earlier_response_age: self.reader.earlier_response_age,
         });
         arriving.received_bytes += data.len() as u64;
-        arriving.last_bytes_at = now;
     }
 
     /// The policy's decision at the current time.
--- a/crates/merlinreel/src/upstream/body_buffer/tests.rs
+++ b/crates/merlinreel/src/upstream/body_buffer/tests.rs
@@ -18,6 +18,7 @@
     let reader = ResponseReader {
         started,
         deadline: started + within,
+        earlier_response_age: None,
         report_progress: &|_| true,
     };
     buffer(body, 4, &reader).await
@@ -200,6 +201,7 @@
     let reader = ResponseReader {
         started,
         deadline: started + Duration::from_millis(300),
+        earlier_response_age: None,
         report_progress: &report_progress,
     };
     let _ = buffer(body, 4, &reader).await;
--- a/crates/merlinreel/src/upstream/exchange.rs
+++ b/crates/merlinreel/src/upstream/exchange.rs
@@ -127,6 +127,7 @@
         let reader = ResponseReader {
             started: attempt.started,
             deadline: attempt.deadline,
+            earlier_response_age: attempt.earlier_response_age,
             report_progress: &report_progress,
         };
         let head = async {
--- a/crates/merlinreel/src/upstream/tests.rs
+++ b/crates/merlinreel/src/upstream/tests.rs
@@ -55,6 +55,7 @@
         started,
         deadline: started + within,
         write_deadline: None,
+        earlier_response_age: None,
     }
 }
 
