Refuse the id of a request that may have run when it comes again

Cause: an id was refused only while its request was in flight. It was free once the limiter had cancelled the attempt of the client that left, while the server may go on working, and nothing remembered which ids had run.

Change: the outcome of an attempt that may have run is recorded at the request, and its id gets 409 for 60 s after the request, or for four deadlines of its class if longer (policy: RequestClass::id_refusal). Classes that may run any number of times and requests that never ran are served again. At most 1,024 ids for each MiB of memory are kept as hashes; then the oldest is forgotten, logged.

--- a/crates/merlinreel/src/admission.rs
+++ b/crates/merlinreel/src/admission.rs
@@ -1,24 +1,71 @@
-//! Resources that a request holds from its admission until it is dropped: its id and the memory for its body.
+//! Resources that a request holds from its admission until it is dropped: its id and the memory for its body. The id of a
+//! request that may have run is refused for longer.
+
+mod recent_ids;
 
 use crate::config::limits::Limits;
+use crate::log;
 use crate::sync::lock;
 use hyper::header::HeaderValue;
+use recent_ids::RecentIds;
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// The ids in use and the memory for bodies, shared by all requests of one limiter.
 #[derive(Clone, Debug)]
 pub struct AdmissionPermits {
-    ids: Arc<Mutex<HashSet<HeaderValue>>>,
+    ids: Arc<Mutex<RequestIds>>,
     body_bytes: Arc<Semaphore>,
 }
 
+/// The ids under which no request is admitted.
+#[derive(Debug)]
+struct RequestIds {
+    in_flight: HashSet<HeaderValue>,
+    /// Ids of requests that have ended and may have run.
+    may_have_run: RecentIds,
+}
+
+impl RequestIds {
+    fn new(max_recent_ids: usize) -> RequestIds {
+        RequestIds {
+            in_flight: HashSet::new(),
+            may_have_run: RecentIds::new(max_recent_ids),
+        }
+    }
+
+    /// Adds an id; false if it is in flight or may have run.
+    fn add(&mut self, id: &HeaderValue) -> bool {
+        !self.may_have_run.contains(id, Instant::now()) && self.in_flight.insert(id.clone())
+    }
+
+    /// Removes an id that is in flight, and refuses it for `refusal` from now on.
+    fn remove(&mut self, id: &HeaderValue, refusal: Option<Duration>) {
+        self.in_flight.remove(id);
+        let Some(refusal) = refusal else {
+            return;
+        };
+        let now = Instant::now();
+        if self.may_have_run.insert(id, now, now + refusal) {
+            log!(
+                "clients: too many ids of requests that may have run are remembered; the oldest one is forgotten before its \
+                 time, and a request that is sent again under it would run twice; raise limits.memory_mb"
+            );
+        }
+    }
+}
+
 /// The id and the body memory of one admitted request, released on drop.
 #[derive(Debug)]
 pub struct AdmissionPermit {
     permits: AdmissionPermits,
     id: HeaderValue,
+    /// For how long the id is refused afterwards if the request may have run; `None` if it may run again.
+    id_refusal: Option<Duration>,
+    may_have_run: AtomicBool,
     _body: Option<OwnedSemaphorePermit>,
 }
 
@@ -26,7 +73,7 @@
     /// Creates permits with no id in use and all body memory free.
     pub fn new(limits: &Limits) -> AdmissionPermits {
         AdmissionPermits {
-            ids: Arc::default(),
+            ids: Arc::new(Mutex::new(RequestIds::new(limits.client.max_recent_ids))),
             body_bytes: Arc::new(Semaphore::new(limits.client.max_buffered_body_bytes)),
         }
     }
@@ -47,24 +94,37 @@
     }
 
     /// Admits a request under its id; `None` if a request with the same id is in flight, as servers would take the second
-    /// one for a copy of the first.
+    /// one for a copy of the first, or has ended and may have run. `id_refusal` is the time for which the id is refused
+    /// after this request, should it have run; `None` if it may run again.
     pub fn admit(
         &self,
         id: &HeaderValue,
+        id_refusal: Option<Duration>,
         body: Option<OwnedSemaphorePermit>,
     ) -> Option<AdmissionPermit> {
-        let is_new = lock(&self.ids).insert(id.clone());
+        let is_new = lock(&self.ids).add(id);
         is_new.then(|| AdmissionPermit {
             permits: self.clone(),
             id: id.clone(),
+            id_refusal,
+            may_have_run: AtomicBool::new(false),
             _body: body,
         })
     }
 }
 
+impl AdmissionPermit {
+    /// Records that a server may have run the request.
+    pub fn record_possible_run(&self) {
+        self.may_have_run.store(true, Ordering::Relaxed);
+    }
+}
+
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
-        lock(&self.permits.ids).remove(&self.id);
+        let may_have_run = self.may_have_run.load(Ordering::Relaxed);
+        let refusal = self.id_refusal.filter(|_| may_have_run);
+        lock(&self.permits.ids).remove(&self.id, refusal);
     }
 }
 
--- a/crates/merlinreel/src/client/request_reader.rs
+++ b/crates/merlinreel/src/client/request_reader.rs
@@ -110,6 +110,7 @@
         let active_settings = self.active_settings.borrow().clone();
         let mut request = decode(&head, &active_settings.settings)
             .map_err(|error| text_response(StatusCode::BAD_REQUEST, format!("{error}\n")))?;
+        let id_refusal = active_settings.settings.classes[request.class].id_refusal();
         request.class = active_settings.indices[request.class];
         let mut reserved = None;
         let body = if body.is_end_stream() {
@@ -131,7 +132,7 @@
         let permit = head
             .headers
             .get(REQUEST_ID)
-            .and_then(|id| self.permits.admit(id, reserved))
+            .and_then(|id| self.permits.admit(id, id_refusal, reserved))
             .ok_or_else(respond_id_in_use)?;
         Ok(CompleteRequest {
             request,
@@ -188,7 +189,7 @@
     }
 }
 
-/// The response if a request with the same id is in flight.
+/// The response if a request with the same id is in flight, or has ended and may have run.
 fn respond_id_in_use() -> Response<Full<Bytes>> {
     text_response(
         StatusCode::CONFLICT,
--- a/crates/merlinreel/src/client/tests/response_heads.rs
+++ b/crates/merlinreel/src/client/tests/response_heads.rs
@@ -191,7 +191,7 @@
     let id = HeaderValue::from_static("9b");
     let _permit = client_listener
         .permits
-        .admit(&id, None)
+        .admit(&id, None, None)
         .expect("id is free");
     let _served = spawn_serving(&client_listener, stream);
     assert_eq!(read_to_end(client).await, EXPECTED);
--- a/crates/merlinreel/src/config/limits.rs
+++ b/crates/merlinreel/src/config/limits.rs
@@ -78,6 +78,8 @@
     /// Maximum number of bytes read ahead while a request is in flight; those beyond the size of a head count against
     /// `max_buffered_body_bytes`.
     pub max_read_ahead_bytes: usize,
+    /// Maximum number of ids that are remembered of requests that have ended and may have run.
+    pub max_recent_ids: usize,
 }
 
 /// Limits of connections to servers.
@@ -165,6 +167,8 @@
 
 /// An endpoint list that is being received may take up to the memory divided by this.
 const LIST_MEMORY_DIVISOR: usize = 5;
+/// Number of remembered ids for each MiB of the memory; they take some 5 % of it.
+const RECENT_IDS_PER_MB: usize = 1024;
 /// Size of an endpoint list that is allowed even if the memory is small.
 const MIN_LIST_BYTES: usize = 4 << 20;
 /// Time after which servers close idle connections, if the settings set none.
@@ -193,7 +197,7 @@
             max_body_bytes: 64 * 1024,
             max_head_bytes: 8 * 1024,
             listener: ListenerLimits::new(),
-            client: ClientLimits::new(&budget, sockets),
+            client: ClientLimits::new(&budget, sockets, memory_mb),
             upstream: UpstreamLimits::new(&budget, settings),
             endpoints: EndpointWatchLimits::new(memory_mb, settings),
             event_loop: EventLoopLimits::new(&budget, settings),
@@ -218,7 +222,7 @@
 }
 
 impl ClientLimits {
-    fn new(budget: &Budget, sockets: u32) -> ClientLimits {
+    fn new(budget: &Budget, sockets: u32, memory_mb: u32) -> ClientLimits {
         // The remaining connections answer new requests with status 503.
         let max_served_connections = budget.client_connections - budget.client_connections / 4;
         ClientLimits {
@@ -236,6 +240,7 @@
             evict_partial_after: Duration::from_millis(100),
             linger_timeout: Duration::from_millis(250),
             max_read_ahead_bytes: 512 * 1024,
+            max_recent_ids: memory_mb as usize * RECENT_IDS_PER_MB,
         }
     }
 }
--- a/crates/merlinreel/src/event_loop/action_executor.rs
+++ b/crates/merlinreel/src/event_loop/action_executor.rs
@@ -126,6 +126,9 @@
         in_flight
             .attempts
             .retain(|reference| reference.attempt_id != completion.attempt_id);
+        if !completion.outcome.never_ran() {
+            in_flight.record_possible_run();
+        }
         if let Some(response) = completion.upstream_response {
             self.send_response(attempt.request, ClientResponse::Success(response));
         }
--- a/crates/merlinreel/src/event_loop/in_flight.rs
+++ b/crates/merlinreel/src/event_loop/in_flight.rs
@@ -55,6 +55,13 @@
         self.response_sender.is_none()
     }
 
+    /// Records that a server may have run the request.
+    pub fn record_possible_run(&self) {
+        if let Some(permit) = &self.upstream_request.permit {
+            permit.record_possible_run();
+        }
+    }
+
     /// Until when an attempt may wait for a response, so that the response can reach the client `margin` before the
     /// client's deadline.
     pub fn attempt_deadline(&self, margin: Duration) -> Instant {
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -11,6 +11,7 @@
 mod mesh;
 mod operations;
 mod pipelining;
+mod repeated_ids;
 mod request_bodies;
 mod responses;
 mod settings_bounds;
