Bound the number of customers' accounts by the limiter's memory

Cause: QuotaTable::find_or_create made an account for each customer before its request was decided, expiry kept each for half a minute and two windows, and nothing bounded their number.

Change: at most 192 accounts for each MiB of memory. When there is no room, accounts that no request refers to and whose bucket is as full as a new one's are dropped at once, ten times a second at most; if there is still none, the request is rejected with 429 (limiter.rejected.too_many_customers).

--- a/crates/merlinreel-policy/src/expiry.rs
+++ b/crates/merlinreel-policy/src/expiry.rs
@@ -1,5 +1,5 @@
 //! Decides when unused accounts and servers are dropped. Otherwise customers that send a single request and servers
-//! that are replaced again and again would fill the memory.
+//! that are replaced again and again would fill the memory. Accounts are dropped earlier where there are too many.
 
 use crate::actions::Actions;
 use crate::model::endpoint::EndpointState;
@@ -19,6 +19,8 @@
 const ACCOUNT_WINDOWS: f64 = 2.0;
 /// An idle account is kept for longer than this many checks, as many customers return.
 const MIN_ACCOUNT_CHECKS: f64 = 30.0;
+/// Shortest time between two early drops of accounts: each goes through all accounts.
+const EARLY_DROP_INTERVAL: Duration = Duration::from_millis(100);
 /// A removed server is kept for this many checks.
 const REMOVED_SERVER_CHECKS: u32 = 30;
 
@@ -46,6 +48,34 @@
     }
 }
 
+/// Makes room for new accounts in a table that is full: drops those that no request in progress refers to and whose bucket is
+/// as full as that of a new account, without waiting until they have been idle for long. What is lost is a report of demand
+/// that is not sent yet, and that the customer's quota was not split any more.
+pub fn drop_full_accounts(
+    now: Duration,
+    config: &LimiterConfig,
+    quotas: &mut QuotaTable,
+    requests: &RequestTable,
+) {
+    let is_due = quotas
+        .last_early_drop
+        .is_none_or(|last| now >= last + EARLY_DROP_INTERVAL);
+    if !is_due {
+        return;
+    }
+    quotas.last_early_drop = Some(now);
+    let accounts_in_use = requests.pending.values().map(|pending| pending.account);
+    quotas.remove_expired(&config.plans, accounts_in_use, |account, plan| {
+        account.counter.in_flight.is_none() && is_as_new(now, account, plan)
+    });
+}
+
+/// Whether the account's bucket is as full as that of a new one.
+fn is_as_new(now: Duration, account: &mut Account, plan: &Plan) -> bool {
+    account.advance(now, plan);
+    account.remaining(now, plan) >= plan.burst
+}
+
 /// Counts a check of an account that no request in progress refers to. After enough checks since the last call of
 /// [`QuotaTable::mark_dirty`] for it, the account is expired if it has no counter call in flight, nothing to report and
 /// no subscribers, and its bucket is as full as that of a new account.
@@ -56,11 +86,7 @@
         && !account.replication.dirty
         && account.counter.in_flight.is_none()
         && account.aggregation.subscribers.is_empty();
-    if !is_idle {
-        return false;
-    }
-    account.advance(now, plan);
-    account.remaining(now, plan) >= plan.burst
+    is_idle && is_as_new(now, account, plan)
 }
 
 /// Counts the checks of a server since it was removed from the endpoint list; the server is expired after enough of
--- a/crates/merlinreel-policy/src/limiter.rs
+++ b/crates/merlinreel-policy/src/limiter.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Limits the number of customers whose accounts are kept at the same time. Requests of further ones are rejected while
+    /// no account can be dropped. Without a limit, the memory grows with the number of customers.
+    #[must_use]
+    pub fn with_max_accounts(mut self, max_accounts: usize) -> Limiter {
+        self.quotas.max_accounts = max_accounts;
+        self
+    }
+
     /// Handles the events since the last batch, and passes the decisions to `actions`.
     ///
     /// `now` is the time on the limiter's clock, whose zero all limiters share: Unix time or simulated time. A server's
--- a/crates/merlinreel-policy/src/quota/peer_reports.rs
+++ b/crates/merlinreel-policy/src/quota/peer_reports.rs
@@ -80,7 +80,10 @@
     if row.plan >= plans.len() || row.total.abs() > MAX_TOTAL_UNITS {
         return;
     }
-    let index = quotas.find_or_create(now, row.customer, row.plan, plans);
+    // Without room for its account, what others admit for a customer is not known here until a request of it arrives.
+    let Some(index) = quotas.find_or_create(now, row.customer, row.plan, plans) else {
+        return;
+    };
     let plan = &plans[row.plan];
     let account = &mut quotas[index];
     if account.plan != row.plan {
--- a/crates/merlinreel-policy/src/quota/table.rs
+++ b/crates/merlinreel-policy/src/quota/table.rs
@@ -30,6 +30,10 @@
     pub dirty: Vec<AccountIndex>,
     /// Time over which new accounts measure demand.
     demand_window: Duration,
+    /// Maximum number of accounts.
+    pub max_accounts: usize,
+    /// When accounts were last dropped early because the table was full.
+    pub last_early_drop: Option<Duration>,
 }
 
 impl Index<AccountIndex> for QuotaTable {
@@ -47,7 +51,7 @@
 }
 
 impl QuotaTable {
-    /// An empty table whose accounts measure demand over `demand_window`.
+    /// An empty table for any number of accounts, which measure demand over `demand_window`.
     pub fn new(demand_window: Duration) -> QuotaTable {
         QuotaTable {
             accounts: Vec::new(),
@@ -55,17 +59,28 @@
             by_customer: HashMap::new(),
             dirty: Vec::new(),
             demand_window,
+            max_accounts: usize::MAX,
+            last_early_drop: None,
         }
     }
 
-    /// Index of a customer's account, which is marked dirty. Creates an account of the given plan if there is none.
+    /// Whether there is no room for an account of this customer, which has none yet.
+    pub fn is_full_for(&self, customer: u64) -> bool {
+        self.by_customer.len() >= self.max_accounts && !self.by_customer.contains_key(&customer)
+    }
+
+    /// Index of a customer's account, which is marked dirty. Creates an account of the given plan if there is none; `None`
+    /// if there is no room for it.
     pub fn find_or_create(
         &mut self,
         now: Duration,
         customer: u64,
         plan_index: usize,
         plans: &[Plan],
-    ) -> AccountIndex {
+    ) -> Option<AccountIndex> {
+        if self.is_full_for(customer) {
+            return None;
+        }
         let index = if let Some(&index) = self.by_customer.get(&customer) {
             index
         } else {
@@ -74,7 +89,7 @@
             self.insert(account)
         };
         self.mark_dirty(index);
-        index
+        Some(index)
     }
 
     fn insert(&mut self, account: Account) -> AccountIndex {
@@ -115,5 +130,9 @@
                 self.free.push(AccountIndex(index));
             }
         }
+        // A free index is marked dirty again for its next customer.
+        let accounts = &self.accounts;
+        self.dirty
+            .retain(|index| accounts[index.0].replication.dirty);
     }
 }
--- a/crates/merlinreel-policy/src/request/admission.rs
+++ b/crates/merlinreel-policy/src/request/admission.rs
@@ -3,6 +3,7 @@
 use super::remaining_time::RemainingTimeHistogram;
 use super::time_spent::time_already_spent;
 use crate::actions::Actions;
+use crate::expiry::drop_full_accounts;
 use crate::model::fleet::FleetConfig;
 use crate::model::limiter_config::LimiterConfig;
 use crate::model::plan::Plan;
@@ -27,6 +28,9 @@
 /// Reports of admitted requests may use an aggregator's inbox rate divided by this.
 const REPORTS_INBOX_DIVISOR: f64 = 4.0;
 
+/// Retry-After of a request for whose customer there is no room: accounts become free as buckets refill.
+const FULL_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The state that admission reads and updates.
 pub struct Admission<'a> {
     /// The limiter's configuration.
@@ -58,9 +62,22 @@
     pub fn decide(&mut self, now: Duration, request: &Request, actions: &mut dyn Actions) {
         let config = self.config;
         let timing = self.report_timing(now);
-        let index = self
+        if self.quotas.is_full_for(request.customer) {
+            drop_full_accounts(now, config, self.quotas, self.requests);
+        }
+        let plans = &config.plans;
+        let found = self
             .quotas
-            .find_or_create(now, request.customer, request.plan, &config.plans);
+            .find_or_create(now, request.customer, request.plan, plans);
+        let Some(index) = found else {
+            let retry_after = config.request_limits.retry_after;
+            actions.reject(
+                request.id,
+                RejectReason::TooManyCustomers,
+                retry_after.then_some(FULL_TABLE_RETRY_AFTER),
+            );
+            return;
+        };
         let account = &mut self.quotas[index];
         let plan = &config.plans[account.plan];
         count_request(now, request, plan, timing.split_duration, account);
--- a/crates/merlinreel-policy/src/tests/helpers.rs
+++ b/crates/merlinreel-policy/src/tests/helpers.rs
@@ -240,7 +240,8 @@
 /// The account of a customer, which is created at 1 s if there is none.
 pub fn account_of(limiter: &mut Limiter, customer: u64) -> &mut Account {
     let plans = &limiter.config.plans;
-    let index = limiter.quotas.find_or_create(at(1.0), customer, 0, plans);
+    let found = limiter.quotas.find_or_create(at(1.0), customer, 0, plans);
+    let index = found.expect("room for an account");
     &mut limiter.quotas[index]
 }
 
--- a/crates/merlinreel/src/config/limits.rs
+++ b/crates/merlinreel/src/config/limits.rs
@@ -126,6 +126,8 @@
 pub struct EventLoopLimits {
     /// Maximum number of requests in flight.
     pub max_requests: usize,
+    /// Maximum number of customers whose accounts are kept at the same time.
+    pub max_accounts: usize,
     /// Maximum number of events waiting in the queue.
     pub queue_length: usize,
     /// Maximum number of events processed in one batch.
@@ -169,6 +171,8 @@
 const LIST_MEMORY_DIVISOR: usize = 5;
 /// Number of remembered ids for each MiB of the memory; they take some 5 % of it.
 const RECENT_IDS_PER_MB: usize = 1024;
+/// Number of customers' accounts for each MiB of the memory; an account takes up to 1 KiB.
+const ACCOUNTS_PER_MB: usize = 192;
 /// Size of an endpoint list that is allowed even if the memory is small.
 const MIN_LIST_BYTES: usize = 4 << 20;
 /// Time after which servers close idle connections, if the settings set none.
@@ -200,7 +204,7 @@
             client: ClientLimits::new(&budget, sockets, memory_mb),
             upstream: UpstreamLimits::new(&budget, settings),
             endpoints: EndpointWatchLimits::new(memory_mb, settings),
-            event_loop: EventLoopLimits::new(&budget, settings),
+            event_loop: EventLoopLimits::new(&budget, memory_mb, settings),
             shutdown: ShutdownLimits::new(),
             admin: AdminLimits::new(),
         })
@@ -283,7 +287,7 @@
 }
 
 impl EventLoopLimits {
-    fn new(budget: &Budget, settings: &Settings) -> EventLoopLimits {
+    fn new(budget: &Budget, memory_mb: u32, settings: &Settings) -> EventLoopLimits {
         let max_in_flight = settings.request_limits.max_in_flight;
         EventLoopLimits {
             max_requests: if max_in_flight == 0 {
@@ -291,6 +295,7 @@
             } else {
                 max_in_flight
             },
+            max_accounts: memory_mb as usize * ACCOUNTS_PER_MB,
             // Holds a request and a disconnect for each client connection, and a completion for each attempt.
             queue_length: 4 * budget.connections + 256,
             batch_size: 512,
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -113,7 +113,10 @@
         queue.clone(),
         metrics.clone(),
     );
-    let limiter = config.settings.limiter(config.seed);
+    let limiter = config
+        .settings
+        .limiter(config.seed)
+        .with_max_accounts(config.limits.event_loop.max_accounts);
     let peer_socket = sockets.peer_socket.clone();
     EventLoop::new(
         limiter,
--- a/crates/merlinreel/src/telemetry/metrics.rs
+++ b/crates/merlinreel/src/telemetry/metrics.rs
@@ -6,7 +6,7 @@
 //! ```text
 //! limiter.requests.C.served:812|c      (also refused, failed, attempts; C a class of the active settings)
 //! limiter.attempts:900|c               (attempts completely written to servers)
-//! limiter.rejected.quota:3|c           (also late_arrival, no_server_in_time, attempts_failed, too_many_in_flight, too_many_connections)
+//! limiter.rejected.quota:3|c           (also too_many_customers, late_arrival, no_server_in_time, attempts_failed, too_many_in_flight, too_many_connections)
 //! limiter.in_flight:14|g               (requests in flight)
 //! limiter.servers_known:10|g           (servers listed and not removed)
 //! limiter.servers_excluded:1|g         (of those, draining or ejected now)
@@ -96,6 +96,7 @@
 #[derive(Default)]
 struct RejectionCounts {
     quota: AtomicU64,
+    too_many_customers: AtomicU64,
     late_arrival: AtomicU64,
     no_server_in_time: AtomicU64,
     attempts_failed: AtomicU64,
@@ -107,15 +108,17 @@
     fn for_reason(&self, reason: RejectReason) -> &AtomicU64 {
         match reason {
             RejectReason::Quota => &self.quota,
+            RejectReason::TooManyCustomers => &self.too_many_customers,
             RejectReason::LateArrival => &self.late_arrival,
             RejectReason::NoServerInTime => &self.no_server_in_time,
             RejectReason::AttemptsFailed => &self.attempts_failed,
         }
     }
 
-    fn by_name(&self) -> [(&'static str, &AtomicU64); 6] {
+    fn by_name(&self) -> [(&'static str, &AtomicU64); 7] {
         [
             ("quota", &self.quota),
+            ("too_many_customers", &self.too_many_customers),
             ("late_arrival", &self.late_arrival),
             ("no_server_in_time", &self.no_server_in_time),
             ("attempts_failed", &self.attempts_failed),
--- a/crates/merlinreel/src/telemetry/metrics/tests.rs
+++ b/crates/merlinreel/src/telemetry/metrics/tests.rs
@@ -60,6 +60,7 @@
         limiter.requests.look.failed:2|c\n\
         limiter.requests.look.attempts:1|c\n\
         limiter.rejected.quota:2|c\n\
+        limiter.rejected.too_many_customers:0|c\n\
         limiter.rejected.late_arrival:0|c\n\
         limiter.rejected.no_server_in_time:1|c\n\
         limiter.rejected.attempts_failed:0|c\n\
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -9,6 +9,7 @@
 mod limited_process;
 mod long_responses;
 mod mesh;
+mod new_customers;
 mod operations;
 mod pipelining;
 mod repeated_ids;
