Share the ids of requests between the two processes of an upgrade

Change: where the listening socket is inherited, each process appends the id of a keyed or single-use request to a file in $TMPDIR before it admits it, and reads what the other appended before; the order of the lines decides. A claim of a request that never ran is taken back. A new file each minute, old ones deleted, size bounded by the memory limit. Limiters that bind their own socket write none.

--- a/crates/merlinreel-testkit/src/process.rs
+++ b/crates/merlinreel-testkit/src/process.rs
@@ -90,6 +90,7 @@
                 .fd_mappings(vec![mapping])
                 .expect("LISTENER_FD is mapped once");
             command.env("PROXY_LISTEN_FD", LISTENER_FD.to_string());
+            command.env("TMPDIR", std::env::temp_dir());
         }
         (command.spawn().expect("the program is spawned"), path)
     }
--- a/crates/merlinreel/src/admission.rs
+++ b/crates/merlinreel/src/admission.rs
@@ -2,12 +2,14 @@
 //! request that may have run is refused for longer.
 
 mod recent_ids;
+mod shared_ids;
 
 use crate::config::limits::Limits;
 use crate::log;
 use crate::sync::lock;
 use hyper::header::HeaderValue;
 use recent_ids::RecentIds;
+pub use shared_ids::{SharedIds, SharedIdsError};
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -27,6 +29,8 @@
     in_flight: HashSet<HeaderValue>,
     /// Ids of requests that have ended and may have run.
     may_have_run: RecentIds,
+    /// The ids that the other process of an upgrade has admitted; `None` if there are no upgrades.
+    shared: Option<SharedIds>,
 }
 
 impl RequestIds {
@@ -34,20 +38,45 @@
         RequestIds {
             in_flight: HashSet::new(),
             may_have_run: RecentIds::new(max_recent_ids),
+            shared: None,
         }
     }
 
-    /// Adds an id; false if it is in flight or may have run.
-    fn add(&mut self, id: &HeaderValue) -> bool {
-        !self.may_have_run.contains(id, Instant::now()) && self.in_flight.insert(id.clone())
+    /// Adds an id; false if it is in flight or may have run, here or at the other process of an upgrade.
+    fn add(&mut self, id: &HeaderValue, refusal: Option<Duration>) -> bool {
+        if self.may_have_run.contains(id, Instant::now()) || !self.in_flight.insert(id.clone()) {
+            return false;
+        }
+        let is_first = refusal.is_none_or(|refusal| self.claim(id, refusal));
+        if !is_first {
+            self.in_flight.remove(id);
+        }
+        is_first
     }
 
-    /// Removes an id that is in flight, and refuses it for `refusal` from now on.
-    fn remove(&mut self, id: &HeaderValue, refusal: Option<Duration>) {
+    /// Whether no other process has admitted the id. True if that can't be found out.
+    fn claim(&mut self, id: &HeaderValue, refusal: Duration) -> bool {
+        let Some(shared) = &mut self.shared else {
+            return true;
+        };
+        shared
+            .claim(id.as_bytes(), refusal)
+            .unwrap_or_else(|error| {
+                log!("clients: an id is not shared with the other process of an upgrade: {error}");
+                true
+            })
+    }
+
+    /// Removes an id that is in flight. If its request has not run, the id is free; else it is refused for `refusal`.
+    fn remove(&mut self, id: &HeaderValue, refusal: Option<Duration>, may_have_run: bool) {
         self.in_flight.remove(id);
         let Some(refusal) = refusal else {
             return;
         };
+        if !may_have_run {
+            self.release(id);
+            return;
+        }
         let now = Instant::now();
         if self.may_have_run.insert(id, now, now + refusal) {
             log!(
@@ -56,6 +85,15 @@
             );
         }
     }
+
+    fn release(&mut self, id: &HeaderValue) {
+        let Some(shared) = &mut self.shared else {
+            return;
+        };
+        if let Err(error) = shared.release(id.as_bytes()) {
+            log!("clients: an id stays refused at the other process of an upgrade: {error}");
+        }
+    }
 }
 
 /// The id and the body memory of one admitted request, released on drop.
@@ -78,6 +116,11 @@
         }
     }
 
+    /// Shares the ids with the other process of an upgrade from now on.
+    pub fn share_ids(&self, shared: SharedIds) {
+        lock(&self.ids).shared = Some(shared);
+    }
+
     /// Reserves `bytes` of the body memory; `None` if fewer are free.
     pub fn reserve_body(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
         self.body_bytes
@@ -102,7 +145,7 @@
         id_refusal: Option<Duration>,
         body: Option<OwnedSemaphorePermit>,
     ) -> Option<AdmissionPermit> {
-        let is_new = lock(&self.ids).add(id);
+        let is_new = lock(&self.ids).add(id, id_refusal);
         is_new.then(|| AdmissionPermit {
             permits: self.clone(),
             id: id.clone(),
@@ -123,8 +166,7 @@
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         let may_have_run = self.may_have_run.load(Ordering::Relaxed);
-        let refusal = self.id_refusal.filter(|_| may_have_run);
-        lock(&self.permits.ids).remove(&self.id, refusal);
+        lock(&self.permits.ids).remove(&self.id, self.id_refusal, may_have_run);
     }
 }
 
--- a/crates/merlinreel/src/admission/recent_ids/tests.rs
+++ b/crates/merlinreel/src/admission/recent_ids/tests.rs
@@ -11,7 +11,7 @@
     assert!(ids.contains(&"9b", start + KEPT_FOR / 2));
     assert!(!ids.contains(&"9c", start));
     assert!(!ids.contains(&"9b", start + KEPT_FOR));
-    assert!(ids.hashes.is_empty() && ids.kept_until.is_empty());
+    assert!(ids.kept_until.is_empty() && ids.oldest_first.is_empty());
 }
 
 /// Guards against memory that grows with the number of ids that clients invent.
@@ -26,3 +26,15 @@
     let kept: Vec<bool> = (0..4).map(|id| ids.contains(&id, start)).collect();
     assert_eq!(kept, [false, false, true, true]);
 }
+
+#[test]
+fn id_that_is_inserted_again_is_kept_until_its_later_time() {
+    let mut ids = RecentIds::new(8);
+    let start = Instant::now();
+    ids.insert(&"9b", start, start + KEPT_FOR);
+    ids.remove(&"9b");
+    assert!(!ids.contains(&"9b", start));
+    ids.insert(&"9b", start, start + 2 * KEPT_FOR);
+    assert!(ids.contains(&"9b", start + KEPT_FOR));
+    assert!(!ids.contains(&"9b", start + 2 * KEPT_FOR));
+}
--- a/crates/merlinreel/src/client/listener.rs
+++ b/crates/merlinreel/src/client/listener.rs
@@ -1,12 +1,14 @@
 //! State that all client connections of the limiter share.
 
 use super::connection::ClientConnection;
-use crate::admission::AdmissionPermits;
+use crate::admission::{AdmissionPermits, SharedIds, SharedIdsError};
 use crate::config::limits::Limits;
 use crate::messages::{ActiveSettings, Queue};
 use crate::stall::StallMonitor;
 use crate::telemetry::metrics::Metrics;
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
@@ -60,6 +62,19 @@
         })
     }
 
+    /// Shares the ids of requests with the other process of an upgrade, by files in `folder`. `listen` names the limiter.
+    ///
+    /// # Errors
+    ///
+    /// The files can't be created or read.
+    pub fn share_ids(&self, folder: &Path, listen: SocketAddr) -> Result<(), SharedIdsError> {
+        let limits = &self.limits.client;
+        let max_file_bytes = limits.max_shared_ids_bytes;
+        let shared = SharedIds::open(folder, listen, limits.max_recent_ids, max_file_bytes)?;
+        self.permits.share_ids(shared);
+        Ok(())
+    }
+
     /// Number of requests that were read completely and are not answered, or whose response is still streaming.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/merlinreel/src/config.rs
+++ b/crates/merlinreel/src/config.rs
@@ -15,12 +15,13 @@
 
 use crate::mesh::MeshConfig;
 use check::{check_peers, check_settings};
-use environment::{ADMIN, CONFIG, DISCOVERY, LISTEN, NAME, address_or_variable};
+use environment::{ADMIN, CONFIG, DISCOVERY, LISTEN, NAME, SHARED_FOLDER, address_or_variable};
 use file::ConfigFile;
 use limits::Limits;
 use merlinreel_discovery::DiscoveryUpdate;
 use merlinreel_settings::{Settings, SettingsTree};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// The limiter's name if neither the file nor the environment sets one.
 const DEFAULT_NAME: &str = "merlinreel";
@@ -54,6 +55,8 @@
     pub cached_endpoints: Option<DiscoveryUpdate>,
     /// Configuration of the mesh of limiters; `None` if this limiter is not a member.
     pub mesh: Option<MeshConfig>,
+    /// Folder that both processes of an upgrade use; `None` if the environment names none.
+    pub shared_folder: Option<PathBuf>,
     /// Paths of unknown keys in the file, which have no effect: misspelt, or meant for another version.
     pub unknown_keys: Vec<String>,
 }
@@ -121,6 +124,7 @@
             .map(DiscoveryUpdate::try_from)
             .transpose()?,
         settings,
+        shared_folder: variable(SHARED_FOLDER).map(PathBuf::from),
         unknown_keys,
     })
 }
--- a/crates/merlinreel/src/config/environment.rs
+++ b/crates/merlinreel/src/config/environment.rs
@@ -13,6 +13,8 @@
 pub const DISCOVERY: &str = "PROXY_DISCOVERY";
 /// Fallback for the key `ops`.
 pub const ADMIN: &str = "PROXY_OPS";
+/// Folder that both processes of an upgrade use.
+pub const SHARED_FOLDER: &str = "TMPDIR";
 
 /// Returns the address `given` in the file under `key`, or else the one in the environment variable `name`, which `variable`
 /// looks up.
--- a/crates/merlinreel/src/config/limits.rs
+++ b/crates/merlinreel/src/config/limits.rs
@@ -80,6 +80,8 @@
     pub max_read_ahead_bytes: usize,
     /// Maximum number of ids that are remembered of requests that have ended and may have run.
     pub max_recent_ids: usize,
+    /// Maximum size of a file by which the two processes of an upgrade share ids.
+    pub max_shared_ids_bytes: u64,
 }
 
 /// Limits of connections to servers.
@@ -171,6 +173,8 @@
 const LIST_MEMORY_DIVISOR: usize = 5;
 /// Number of remembered ids for each MiB of the memory; they take some 5 % of it.
 const RECENT_IDS_PER_MB: usize = 1024;
+/// Size of a file of shared ids for each MiB of the memory, as files count against it; there are up to four.
+const SHARED_IDS_BYTES_PER_MB: u64 = 8 << 10;
 /// Number of customers' accounts for each MiB of the memory; an account takes up to 1 KiB.
 const ACCOUNTS_PER_MB: usize = 192;
 /// Size of an endpoint list that is allowed even if the memory is small.
@@ -245,6 +249,7 @@
             linger_timeout: Duration::from_millis(250),
             max_read_ahead_bytes: 512 * 1024,
             max_recent_ids: memory_mb as usize * RECENT_IDS_PER_MB,
+            max_shared_ids_bytes: u64::from(memory_mb) * SHARED_IDS_BYTES_PER_MB,
         }
     }
 }
--- a/crates/merlinreel/src/lib.rs
+++ b/crates/merlinreel/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use startup::reload_channels::ReloadChannels;
 
-use client::ClientListener;
+use client::{ClientListener, ListenerOrigin};
 use config::GatewayConfig;
 use event_loop::{Clock, EventLoop};
 use mesh::MeshTasks;
@@ -80,6 +80,7 @@
         metrics.clone(),
         stall_monitor,
     );
+    share_ids(&config, &sockets, &client_listener);
     let mesh_tasks = join_mesh(&config, &client_listener).await?;
     let status = GatewayStatus {
         client_listener: client_listener.clone(),
@@ -153,6 +154,23 @@
     }
 }
 
+/// Shares the ids of requests with the other process of an upgrade. Upgrades are made only where the listening socket is
+/// inherited.
+fn share_ids(config: &GatewayConfig, sockets: &Sockets, client_listener: &ClientListener) {
+    let Some(folder) = &config.shared_folder else {
+        return;
+    };
+    if sockets.origin != ListenerOrigin::Inherited {
+        return;
+    }
+    if let Err(error) = client_listener.share_ids(folder, config.listen) {
+        log!(
+            "clients: {error}; a request that is sent again during an upgrade may run twice; make {} writable",
+            folder.display()
+        );
+    }
+}
+
 /// Joins the mesh of limiters, if the configuration has the section `mesh`.
 async fn join_mesh(
     config: &GatewayConfig,
--- a/crates/merlinreel/tests/sockets/repeated_ids.rs
+++ b/crates/merlinreel/tests/sockets/repeated_ids.rs
@@ -3,6 +3,7 @@
 
 use crate::responses::Class;
 use merlinreel_testkit::*;
+use std::net::TcpListener;
 use std::sync::mpsc::RecvTimeoutError;
 use std::thread;
 use std::time::Duration;
@@ -120,3 +121,60 @@
     let further = server.requests.recv_timeout(QUIET_TIME);
     assert_eq!(further.err(), Some(RecvTimeoutError::Timeout));
 }
+
+/// When the platform has started the new process of an upgrade, and which of the two accepts the request that comes again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Upgrade {
+    /// The new process starts after the request came first; the old one has stopped accepting when it comes again.
+    FromOldToNew,
+    /// Both accept, and the request comes again several times.
+    WhileBothAccept,
+}
+
+/// Guards against a second run of a request that comes again at the other process of an upgrade, while the first still runs
+/// or after its client has left.
+#[test_matrix(
+    [Class::IdempotencyKey, Class::NonIdempotent],
+    [Upgrade::FromOldToNew, Upgrade::WhileBothAccept],
+    [Again::InFlight, Again::ClientLeft, Again::Answered]
+)]
+fn request_that_may_have_run_is_refused_at_the_other_process_of_an_upgrade(
+    class: Class,
+    upgrade: Upgrade,
+    again: Again,
+) {
+    const REPEATS: usize = 8;
+    let server = slow_server();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut config = config(&[instance("s-1", server.address, "up")]);
+    let address = listener.local_addr().expect("a local address");
+    config["listen"] = address.to_string().into();
+    config["ops"] = free_address().to_string().into();
+    let old_process = Program::start_with_listener(&config, &listener);
+    config["ops"] = free_address().to_string().into();
+    let mut new_process = None;
+    if upgrade == Upgrade::WhileBothAccept {
+        new_process = Some(Program::start_with_listener(&config, &listener));
+    }
+    let text = request(class.name(), 7, 1, "3000m");
+    let mut first = old_process.client();
+    first.send(&text);
+    server.next_request();
+    if upgrade == Upgrade::FromOldToNew {
+        new_process = Some(Program::start_with_listener(&config, &listener));
+        old_process.signal("-TERM");
+    }
+    match again {
+        Again::Answered => assert_eq!(first.receive().expect("a response").status(), 200),
+        Again::InFlight => {}
+        Again::ClientLeft | Again::ClientLeftLongAgo => drop(first),
+    }
+    thread::sleep(NOTICE_TIME);
+    let new_process = new_process.expect("a new process");
+    for _ in 0..REPEATS {
+        let response = new_process.client().call(&text).expect("a response");
+        assert_eq!(response.status(), 409);
+    }
+    let further = server.requests.recv_timeout(QUIET_TIME);
+    assert_eq!(further.err(), Some(RecvTimeoutError::Timeout));
+}
