Ask a new discovery process for its complete list

Cause: AddressWatch::handle_response took over the lower version of the new process's answer to a watch and went on asking for changes after it; the list with which the new process had begun was never asked for.

Change: changes up to a lower version than the known one are not applied, and the next call asks for the complete list.

--- a/crates/merlinreel/src/endpoints/address_watch.rs
+++ b/crates/merlinreel/src/endpoints/address_watch.rs
@@ -151,12 +151,21 @@
         );
     }
 
-    /// Aborts all other calls and sends the update to the queue, unless it contains no change.
+    /// Aborts all other calls and sends the update to the queue, unless it contains no change. Changes up to a lower version
+    /// than the known one come from a new process at the agent's address: its complete list is asked for.
     async fn handle_response(&mut self, response: CallResponse) {
         self.calls.shutdown().await;
         self.open_calls.clear();
         self.connection = Some(response.connection);
         let update = response.update;
+        let is_renumbered =
+            !update.complete && self.version.is_some_and(|known| update.version < known);
+        if is_renumbered {
+            // The changes since a version that another process had say nothing of the list that this one has.
+            log!("discovery: the agent numbers its lists anew; asking it for the complete list");
+            self.version = None;
+            return;
+        }
         self.version = Some(update.version);
         if self.consecutive_failures > 0 {
             log!("discovery: the agent responds again; endpoint updates resume");
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 
 mod advertised_time;
 mod client_disconnects;
+mod discovery_restart;
 mod endpoint_draining;
 mod fault_campaign;
 mod graceful_shutdown;
