--- a/crates/merlinreel/src/endpoints/open_calls.rs
+++ b/crates/merlinreel/src/endpoints/open_calls.rs
@@ -1,7 +1,8 @@
 //! The open calls to discovery: how much of each response has arrived, and which call is aborted if there are too many.
 
+use crate::sync::lock;
 use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
@@ -21,7 +22,7 @@
 impl Progress {
     /// Records the total number of bytes that have arrived by now.
     pub fn record(&self, bytes: usize) {
-        *self.lock() = Some(Received {
+        *lock(&self.0) = Some(Received {
             bytes,
             at: Instant::now(),
         });
@@ -29,15 +30,11 @@
 
     /// The number of bytes that have arrived; 0 if none has arrived for `stalled_after`.
     fn bytes_unless_stalled(&self, stalled_after: Duration) -> usize {
-        let received = *self.lock();
+        let received = *lock(&self.0);
         received
             .filter(|received| received.at.elapsed() < stalled_after)
             .map_or(0, |received| received.bytes)
     }
-
-    fn lock(&self) -> MutexGuard<'_, Option<Received>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 #[derive(Debug)]
--- a/crates/merlinreel/src/net/late_deadline.rs
+++ b/crates/merlinreel/src/net/late_deadline.rs
@@ -14,8 +14,8 @@
 pub const EXTRA_POLL_TIME: Duration = Duration::from_millis(1);
 /// A timer that fires later than this after its deadline shows that the limiter stalled.
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(5);
-/// Time to read the unread data in the socket receive buffer after a stall.
-const CATCH_UP_TIME: Duration = Duration::from_millis(20);
+/// After a stall, the unread data in the socket receive buffers is read within this time.
+pub const CATCH_UP_TIME: Duration = Duration::from_millis(20);
 
 /// Additional time to read data that arrived before `deadline`, if its expiry is noticed now.
 fn catch_up_time(deadline: Instant) -> Duration {
--- a/crates/merlinreel/src/stall.rs
+++ b/crates/merlinreel/src/stall.rs
@@ -5,6 +5,7 @@
 //! The event loop sets the time of its next run. If it runs much later than that, all other tasks ran late as well.
 
 use crate::log;
+use crate::net::late_deadline::CATCH_UP_TIME;
 use crate::sync::lock;
 use crate::telemetry::metrics::Metrics;
 use std::sync::{Arc, Mutex};
@@ -12,8 +13,6 @@
 
 /// Delay of the event loop that is normal on a machine that is not busy; a longer one is a stall.
 const MAX_DELAY: Duration = Duration::from_millis(20);
-/// After a stall, the unread data in the socket receive buffers is read within this time.
-const CATCH_UP_TIME: Duration = Duration::from_millis(20);
 /// Stalls at least this long are logged.
 const MIN_LOGGED_DELAY: Duration = Duration::from_millis(100);
 
--- a/crates/merlinreel/tests/sockets/long_responses.rs
+++ b/crates/merlinreel/tests/sockets/long_responses.rs
@@ -1,223 +1,22 @@
 //! Long responses that servers send slowly. Only their first bytes have to reach the client in its time: the limiter must
 //! neither cut off what the server still sends nor hold it back for 2 s. A short response must be complete in time.
 
+use crate::paced_responses::*;
 use crate::responses::{
-    BUFFERED_BYTES, Class, Framing, PATIENT_TIMEOUT, chunks, long_body, patient_config,
-    react_to_first,
+    BUFFERED_BYTES, Class, Framing, PATIENT_TIMEOUT, long_body, patient_config, react_to_first,
 };
 use merlinreel_testkit::*;
-use std::io::BufReader;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 use test_case::{test_case, test_matrix};
 
-/// The customer that requests long responses.
-const CUSTOMER: u32 = 7;
-/// Length of a long body.
-const LONG_BYTES: usize = 96 << 10;
-/// Length of each piece of a body but the first.
-const PIECE_BYTES: usize = 12 << 10;
-/// Pause before each piece but the first. At the client's deadline less than [`BUFFERED_BYTES`] have arrived.
-const PAUSE: Duration = Duration::from_millis(300);
-/// Remaining time of a request whose response is not complete in time.
-const SHORT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Bytes that have arrived may be held back for less than this.
-const MAX_HOLD: Duration = Duration::from_secs(2);
-/// How much later than its deadline a client may receive a response before it is lost.
-const MAX_DELAY: Duration = Duration::from_millis(500);
-
-/// A response of unknown length is probably long once this much of it has arrived.
-const PROBABLY_LONG_BYTES: usize = BUFFERED_BYTES / 8;
-/// A pause that begins before a request's deadline and ends long after it.
-const LONG_PAUSE: Duration = Duration::from_millis(3500);
-/// Remaining time of a request whose response pauses: its server has sent nothing for over a second at the deadline.
-const PAUSED_TIMEOUT: Duration = Duration::from_millis(1500);
-/// After this pause a server that sends nothing has cut off its response.
-const STALL_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Body of the short responses that follow a scripted one.
-const DONE: &str = "done";
 /// Fast responses after which the limiter expects others to be as fast.
 const FAST_RESPONSES: u32 = 60;
+
 /// Time that a fast response takes. An attempt is overdue after some multiple of it, before a long response is complete.
 const FAST_RESPONSE_TIME: Duration = Duration::from_millis(30);
 
-/// A body that is sent in pieces.
-#[derive(Clone, Copy)]
-struct Pace {
-    framing: Framing,
-    /// The announced length, or the complete length in the other framings.
-    body_bytes: usize,
-    /// Length of the first piece, which is sent at once.
-    first_bytes: usize,
-    /// Length of each further piece.
-    piece_bytes: usize,
-    /// Pause before each further piece.
-    pause: Duration,
-}
-
-impl Pace {
-    fn of(framing: Framing) -> Pace {
-        Pace {
-            framing,
-            body_bytes: LONG_BYTES,
-            first_bytes: PIECE_BYTES,
-            piece_bytes: PIECE_BYTES,
-            pause: PAUSE,
-        }
-    }
-
-    /// A body that pauses across the client's deadline after its first piece, and is then sent at once.
-    fn paused(framing: Framing, first_bytes: usize) -> Pace {
-        Pace {
-            first_bytes,
-            piece_bytes: LONG_BYTES,
-            pause: LONG_PAUSE,
-            ..Pace::of(framing)
-        }
-    }
-
-    fn encode(self, part: &str) -> String {
-        match self.framing {
-            Framing::Length | Framing::UntilClose => part.to_owned(),
-            Framing::Chunked => chunks(part),
-        }
-    }
-
-    /// The response up to `sent_bytes` bytes of its body, followed by `end`.
-    fn truncated(self, sent_bytes: usize, end: PiecesEnd) -> Reaction {
-        let body = long_body(sent_bytes);
-        let (first, rest) = body.split_at(self.first_bytes.min(sent_bytes));
-        let head = Piece {
-            pause: Duration::ZERO,
-            text: self.framing.head(self.body_bytes) + &self.encode(first),
-        };
-        let rest = rest.as_bytes().chunks(self.piece_bytes).map(|piece| Piece {
-            pause: self.pause,
-            text: self.encode(&String::from_utf8_lossy(piece)),
-        });
-        let pieces = std::iter::once(head).chain(rest).collect();
-        Reaction::Pieces(PiecewiseResponse { pieces, end })
-    }
-
-    /// The complete response.
-    fn complete(self) -> Reaction {
-        let end = PiecesEnd::Connection(ConnectionEnd::Orderly);
-        let Reaction::Pieces(mut response) = self.truncated(self.body_bytes, end) else {
-            unreachable!("a response in pieces")
-        };
-        if self.framing == Framing::Chunked {
-            let last = response.pieces.last_mut().expect("at least the head");
-            last.text.push_str("0\r\n\r\n");
-        }
-        Reaction::Pieces(response)
-    }
-}
-
-/// Starts a server that gives each response at this pace.
-fn paced_server(pace: Pace) -> ScriptedServer {
-    ScriptedServer::start(move |_| pace.complete())
-}
-
-fn limiter_config(server: &ScriptedServer) -> serde_json::Value {
-    config(&[instance("s-1", server.address, "up")])
-}
-
-fn request_text(class: Class, timeout: Duration) -> String {
-    request(
-        class.name(),
-        CUSTOMER,
-        1,
-        &format!("{}m", timeout.as_millis()),
-    )
-}
-
-/// What a client received, and how long after its request the first byte arrived.
-struct Received {
-    response: Result<Option<Message>, ReadError>,
-    first_byte_after: Duration,
-}
-
-impl Received {
-    /// The response. Panics unless it is complete.
-    fn complete(self) -> Message {
-        match self.response {
-            Ok(Some(response)) => response,
-            Ok(None) => panic!("no response"),
-            Err(error) => panic!("{error}"),
-        }
-    }
-
-    /// Asserts that the response is the complete long body of a server, and that it began before it would be lost.
-    fn assert_long(self, body_bytes: usize, timeout: Duration) {
-        let first_byte_after = self.first_byte_after;
-        let response = self.complete();
-        assert_eq!(
-            (response.status(), response.body.len()),
-            (200, body_bytes),
-            "first byte after {first_byte_after:?}"
-        );
-        assert!(response.body == long_body(body_bytes), "another body");
-        assert!(
-            first_byte_after < timeout + MAX_DELAY,
-            "{first_byte_after:?}"
-        );
-    }
-
-    /// Asserts that the response begins as `body` does and that the client can tell that it is not whole.
-    fn assert_truncated(self, body: &str) {
-        match self.response {
-            Err(ReadError::Incomplete(truncated)) => assert!(
-                !truncated.body.is_empty() && body.starts_with(&truncated.body),
-                "{} bytes",
-                truncated.body.len()
-            ),
-            Ok(response) => panic!("{:?}", response.map(|response| response.start_line)),
-            Err(error) => panic!("{error}"),
-        }
-    }
-
-    /// Asserts that the response is the limiter's own, and in time.
-    fn assert_failed_in_time(self, timeout: Duration) {
-        let first_byte_after = self.first_byte_after;
-        assert_eq!(self.complete().status(), 502, "{first_byte_after:?}");
-        assert!(
-            first_byte_after < timeout + MAX_DELAY,
-            "{first_byte_after:?}"
-        );
-    }
-}
-
-/// Sends a request and receives the response.
-fn fetch(program: &Program, class: Class, timeout: Duration) -> Received {
-    receive_after(&request_stream(program, class, timeout))
-}
-
-/// Sends a request on a new connection.
-fn request_stream(program: &Program, class: Class, timeout: Duration) -> TcpStream {
-    use std::io::Write;
-    let mut stream = TcpStream::connect(program.address).expect("a connection");
-    stream
-        .set_read_timeout(Some(TEST_TIMEOUT))
-        .expect("the read timeout is set");
-    stream
-        .write_all(request_text(class, timeout).as_bytes())
-        .expect("the request is sent");
-    stream
-}
-
-fn receive_after(stream: &TcpStream) -> Received {
-    let started = Instant::now();
-    let _ = stream.peek(&mut [0]);
-    let first_byte_after = started.elapsed();
-    let response = read_message(&mut BufReader::new(stream), 0);
-    Received {
-        response,
-        first_byte_after,
-    }
-}
-
 /// Sends requests until the limiter expects fast responses, so that an attempt is overdue soon.
 fn expect_fast_responses(program: &Program, timeout: Duration) {
     let mut client = program.client();
@@ -333,89 +132,6 @@
     assert!(server.closed.recv_timeout(TEST_TIMEOUT).is_ok());
 }
 
-/// Guards against cutting off a long response whose server pauses across the client's deadline (review case 10): where no
-/// length is announced, nothing of it was forwarded.
-#[test_matrix(
-    [Class::Idempotent, Class::IdempotencyKey, Class::NonIdempotent],
-    [Framing::Length, Framing::Chunked, Framing::UntilClose],
-    [PROBABLY_LONG_BYTES, 2 * PIECE_BYTES, BUFFERED_BYTES]
-)]
-fn long_response_that_pauses_at_the_deadline_arrives_complete(
-    class: Class,
-    framing: Framing,
-    first_bytes: usize,
-) {
-    assert_paused_response_arrives(class, framing, first_bytes);
-}
-
-/// Where the length is announced, one byte is enough.
-#[test_case(Class::Idempotent)]
-#[test_case(Class::IdempotencyKey)]
-#[test_case(Class::NonIdempotent)]
-fn announced_long_response_that_pauses_after_one_byte_arrives_complete(class: Class) {
-    assert_paused_response_arrives(class, Framing::Length, 1);
-}
-
-/// Guards against the same fault where so little has arrived of a response of unknown length that it may be short.
-#[test_matrix(
-    [Class::Idempotent, Class::IdempotencyKey, Class::NonIdempotent],
-    [Framing::Chunked, Framing::UntilClose],
-    [1, PROBABLY_LONG_BYTES - 1]
-)]
-fn long_response_of_unknown_length_that_pauses_early_arrives_complete(
-    class: Class,
-    framing: Framing,
-    first_bytes: usize,
-) {
-    assert_paused_response_arrives(class, framing, first_bytes);
-}
-
-fn assert_paused_response_arrives(class: Class, framing: Framing, first_bytes: usize) {
-    let server = paced_server(Pace::paused(framing, first_bytes));
-    let program = Program::start(&limiter_config(&server));
-    fetch(&program, class, PAUSED_TIMEOUT).assert_long(LONG_BYTES, PAUSED_TIMEOUT);
-    assert!(server.requests.try_iter().count() <= 2, "attempts");
-}
-
-/// A response that is a byte longer than the buffer and pauses more than once is long.
-#[test_matrix(
-    [Class::Idempotent, Class::NonIdempotent],
-    [Framing::Length, Framing::Chunked, Framing::UntilClose],
-    [Duration::from_millis(100), Duration::from_millis(1200), Duration::from_millis(2500)]
-)]
-fn response_of_one_byte_over_the_buffered_length_with_pauses_arrives_complete(
-    class: Class,
-    framing: Framing,
-    pause: Duration,
-) {
-    let server = paced_server(Pace {
-        body_bytes: BUFFERED_BYTES + 1,
-        piece_bytes: BUFFERED_BYTES / 2,
-        pause,
-        ..Pace::paused(framing, PROBABLY_LONG_BYTES)
-    });
-    let program = Program::start(&limiter_config(&server));
-    fetch(&program, class, PAUSED_TIMEOUT).assert_long(BUFFERED_BYTES + 1, PAUSED_TIMEOUT);
-}
-
-/// Guards against holding back the beginning of a paused response for 2 s where the deadline is far away, also where the
-/// attempt is cancelled as overdue and its request sent again.
-#[test_matrix(
-    [Class::Idempotent, Class::IdempotencyKey, Class::NonIdempotent],
-    [Framing::Length, Framing::Chunked, Framing::UntilClose],
-    [PROBABLY_LONG_BYTES, 2 * PIECE_BYTES]
-)]
-fn beginning_of_a_paused_long_response_is_not_held_back(
-    class: Class,
-    framing: Framing,
-    first_bytes: usize,
-) {
-    let server = paced_server(Pace::paused(framing, first_bytes));
-    let program = Program::start(&patient_config(&server));
-    let max_wait = MAX_HOLD.saturating_sub(MAX_DELAY);
-    fetch(&program, class, PATIENT_TIMEOUT).assert_long(LONG_BYTES, max_wait);
-}
-
 /// A body of unknown length of which little has arrived when its server stalls may be a short one that has broken off: no
 /// client gets its beginning.
 #[test_case(Framing::Chunked)]
@@ -427,93 +143,6 @@
     assert_eq!(server.closed.recv_timeout(TEST_TIMEOUT), Ok(0));
 }
 
-/// A body of unknown length that is probably long is begun in time although its server stalls. The client can tell that the
-/// rest is missing, the attempt is not repeated, and neither connection is held for ever.
-#[test_matrix([Framing::Chunked, Framing::UntilClose], [PROBABLY_LONG_BYTES, BUFFERED_BYTES / 2])]
-fn stalled_body_that_is_probably_long_begins_in_time_and_ends_recognizably(
-    framing: Framing,
-    sent_bytes: usize,
-) {
-    let server = stalling_server(framing, sent_bytes);
-    let program = Program::start(&limiter_config(&server));
-    let started = Instant::now();
-    let received = fetch(&program, Class::NonIdempotent, PAUSED_TIMEOUT);
-    let ended_after = started.elapsed();
-    assert!(
-        received.first_byte_after < PAUSED_TIMEOUT + MAX_DELAY,
-        "{:?}",
-        received.first_byte_after
-    );
-    assert!(
-        ended_after < PAUSED_TIMEOUT + STALL_TIMEOUT + MAX_DELAY,
-        "{ended_after:?}"
-    );
-    received.assert_truncated(&long_body(sent_bytes));
-    assert_eq!(server.closed.recv_timeout(TEST_TIMEOUT), Ok(0));
-    assert_eq!(server.requests.try_iter().count(), 1, "attempts");
-}
-
-/// Starts a server that sends the beginning of a response and then nothing.
-fn stalling_server(framing: Framing, sent_bytes: usize) -> ScriptedServer {
-    ScriptedServer::start(move |_| {
-        let pace = Pace {
-            first_bytes: sent_bytes,
-            ..Pace::of(framing)
-        };
-        pace.truncated(sent_bytes, PiecesEnd::Stall)
-    })
-}
-
-/// A response that may be short and breaks off while its beginning is held back is a failed attempt, of which no client gets
-/// anything, whatever its framing and however much has arrived.
-#[test_matrix(
-    [Class::Idempotent, Class::IdempotencyKey, Class::NonIdempotent],
-    [Framing::Length, Framing::Chunked, Framing::UntilClose],
-    [1, 2 * PIECE_BYTES, BUFFERED_BYTES - 2]
-)]
-fn short_response_that_breaks_off_after_a_pause_is_retried_where_its_class_allows(
-    class: Class,
-    framing: Framing,
-    sent_bytes: usize,
-) {
-    const PAUSE_BEFORE_RESET: Duration = Duration::from_millis(600);
-    let server = react_to_first(DONE, move || {
-        let pace = Pace {
-            body_bytes: BUFFERED_BYTES,
-            first_bytes: sent_bytes,
-            piece_bytes: 1,
-            pause: PAUSE_BEFORE_RESET,
-            ..Pace::of(framing)
-        };
-        pace.truncated(sent_bytes + 1, PiecesEnd::Connection(ConnectionEnd::Reset))
-    });
-    let program = Program::start(&patient_config(&server));
-    let response = fetch(&program, class, PATIENT_TIMEOUT).complete();
-    let expected = match class {
-        Class::Idempotent | Class::IdempotencyKey => (200, DONE),
-        Class::NonIdempotent => (502, response.body.as_str()),
-    };
-    assert_eq!((response.status(), response.body.as_str()), expected);
-}
-
-/// A short response whose server pauses within the client's time arrives complete in that time.
-#[test_matrix([Framing::Length, Framing::Chunked, Framing::UntilClose], [1000, BUFFERED_BYTES])]
-fn short_response_that_pauses_arrives_complete_in_time(framing: Framing, body_bytes: usize) {
-    const TIMEOUT: Duration = Duration::from_millis(3000);
-    let server = paced_server(Pace {
-        body_bytes,
-        first_bytes: body_bytes / 2,
-        piece_bytes: body_bytes,
-        pause: Duration::from_millis(1800),
-        ..Pace::of(framing)
-    });
-    let program = Program::start(&limiter_config(&server));
-    let started = Instant::now();
-    fetch(&program, Class::NonIdempotent, TIMEOUT).assert_long(body_bytes, TIMEOUT);
-    assert!(started.elapsed() < TIMEOUT, "{:?}", started.elapsed());
-    assert_eq!(server.requests.try_iter().count(), 1, "attempts");
-}
-
 /// A short response that stops half way is cancelled as overdue and requested again where its class allows it. Its client
 /// gets nothing of it.
 #[test_matrix([Class::Idempotent, Class::IdempotencyKey], [Framing::Length, Framing::Chunked, Framing::UntilClose])]
@@ -571,30 +200,6 @@
     assert_eq!(server.requests.try_iter().count(), 1, "attempts");
 }
 
-/// Guards against a repeat after a pause: a response of unknown length that was forwarded at its deadline and breaks off
-/// later ends short at its client.
-#[test_matrix(
-    [Class::Idempotent, Class::IdempotencyKey, Class::NonIdempotent],
-    [Framing::Chunked, Framing::UntilClose]
-)]
-fn paused_response_that_breaks_off_after_the_deadline_is_recognizable_and_not_retried(
-    class: Class,
-    framing: Framing,
-) {
-    let sent_bytes = 3 * PIECE_BYTES;
-    let server = react_to_first(DONE, move || {
-        let pace = Pace {
-            piece_bytes: PIECE_BYTES,
-            pause: Duration::from_millis(2000),
-            ..Pace::paused(framing, 2 * PIECE_BYTES)
-        };
-        pace.truncated(sent_bytes, PiecesEnd::Connection(ConnectionEnd::Reset))
-    });
-    let program = Program::start(&limiter_config(&server));
-    fetch(&program, class, PAUSED_TIMEOUT).assert_truncated(&long_body(sent_bytes));
-    assert_eq!(server.requests.try_iter().count(), 1, "attempts");
-}
-
 /// A long response that breaks off while its beginning is held back is a failed attempt, as a short one is.
 #[test_matrix(
     [Class::Idempotent, Class::IdempotencyKey, Class::NonIdempotent],
@@ -638,13 +243,6 @@
     assert_eq!(server.requests.try_iter().count(), 2, "attempts");
 }
 
-/// What happens while a long response is arriving.
-#[derive(Clone, Copy, Debug)]
-enum Meanwhile {
-    Shutdown,
-    Reload,
-}
-
 /// A shutdown or a reload neither cuts off a long response nor changes its deadline, whether its beginning is still held
 /// back or was forwarded.
 #[test_matrix(
@@ -656,39 +254,6 @@
     assert_response_survives(meanwhile, after, Pace::of(framing), SHORT_TIMEOUT);
 }
 
-/// The same holds for a response that pauses across its deadline.
-#[test_matrix(
-    [Meanwhile::Shutdown, Meanwhile::Reload],
-    [Duration::from_millis(200), Duration::from_millis(1500)],
-    [Framing::Length, Framing::Chunked, Framing::UntilClose]
-)]
-fn paused_long_response_survives(meanwhile: Meanwhile, after: Duration, framing: Framing) {
-    let pace = Pace {
-        pause: Duration::from_millis(2000),
-        ..Pace::paused(framing, 2 * PIECE_BYTES)
-    };
-    assert_response_survives(meanwhile, after, pace, PAUSED_TIMEOUT);
-}
-
-fn assert_response_survives(meanwhile: Meanwhile, after: Duration, pace: Pace, timeout: Duration) {
-    let server = paced_server(pace);
-    let config = limiter_config(&server);
-    let mut program = Program::start(&config);
-    let stream = request_stream(&program, Class::NonIdempotent, timeout);
-    let received = thread::spawn(move || receive_after(&stream));
-    server.next_request();
-    thread::sleep(after);
-    match meanwhile {
-        Meanwhile::Shutdown => program.signal("-TERM"),
-        Meanwhile::Reload => program.reload(&config.to_string()),
-    }
-    let received = received.join().expect("a client that does not panic");
-    received.assert_long(LONG_BYTES, timeout);
-    if matches!(meanwhile, Meanwhile::Shutdown) {
-        assert!(program.wait().success());
-    }
-}
-
 /// A long response of the old process arrives complete although the new process has taken over the listening socket.
 #[test_matrix([Duration::from_millis(200), Duration::from_millis(1500)], [Framing::Length, Framing::Chunked])]
 fn slow_long_response_survives_an_upgrade(after: Duration, framing: Framing) {
--- a/crates/merlinreel/tests/sockets/main.rs
+++ b/crates/merlinreel/tests/sockets/main.rs
@@ -12,6 +12,8 @@
 mod mesh;
 mod new_customers;
 mod operations;
+mod paced_responses;
+mod paused_responses;
 mod pipelining;
 mod repeated_ids;
 mod request_bodies;
