Take a listed server for gone when a known one moves to its address

Cause: EndpointTable::apply_endpoint removed the listed endpoint at an address only for a name that was new; a known one that moved there led two names to one process, each with its own state.

Change: a listed endpoint is removed when a known one moves to its address, unless the same update names it, as in a swap.

--- a/crates/merlinreel-discovery/src/table.rs
+++ b/crates/merlinreel-discovery/src/table.rs
@@ -65,8 +65,8 @@
             .is_some_and(|entry| entry.endpoint.state == EndpointState::Ready)
     }
 
-    /// Applies an update and returns it with indices in place of names. If a new endpoint has the address of a listed one, the
-    /// listed one precedes it in the result, as removed. `cached` marks a list that was stored before this limiter's start.
+    /// Applies an update and returns it with indices in place of names. If a new endpoint has the address of a listed one, or a
+    /// known one moves there, the listed one precedes it in the result, as removed. `cached` marks a list that was stored before this limiter's start.
     pub fn apply(&mut self, update: DiscoveryUpdate, cached: bool) -> EndpointUpdate {
         let mut endpoints = Vec::with_capacity(update.endpoints.len());
         if update.complete {
@@ -74,6 +74,10 @@
                 entry.endpoint.state = EndpointState::Removed;
             }
         }
+        let taken_over = self.endpoints_at_taken_over_addresses(&update);
+        for server in taken_over {
+            endpoints.push(self.remove(server));
+        }
         for discovered in update.endpoints {
             self.apply_endpoint(discovered, &mut endpoints);
         }
@@ -145,9 +149,27 @@
     /// removal only later, and until then attempts at the old endpoint would reach the new one.
     fn remove_listed_at(&mut self, address: SocketAddr) -> Option<Endpoint> {
         let server = self.listed_at(address)?;
-        let entry = &mut self.entries[server.position()];
-        entry.endpoint.state = EndpointState::Removed;
-        Some(entry.endpoint)
+        Some(self.remove(server))
+    }
+
+    /// The listed endpoints to whose addresses other known endpoints move by an update that does not name them.
+    fn endpoints_at_taken_over_addresses(&self, update: &DiscoveryUpdate) -> Vec<ServerIndex> {
+        let moves_to = |discovered: &DiscoveredEndpoint| {
+            let moving = self.index_by_name.get(&discovered.name)?;
+            let other = self.listed_at(discovered.address)?;
+            let is_named = || {
+                let name = &self.entries[other.position()].name;
+                update.endpoints.iter().any(|named| named.name == *name)
+            };
+            (other != *moving && !is_named()).then_some(other)
+        };
+        update.endpoints.iter().filter_map(moves_to).collect()
+    }
+
+    fn remove(&mut self, server: ServerIndex) -> Endpoint {
+        let endpoint = &mut self.entries[server.position()].endpoint;
+        endpoint.state = EndpointState::Removed;
+        *endpoint
     }
 
     fn insert(&mut self, name: String, endpoint: Endpoint, address: SocketAddr) -> ServerIndex {
--- a/crates/merlinreel-discovery/src/table/tests.rs
+++ b/crates/merlinreel-discovery/src/table/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use merlinreel_policy::ServerIndex;
+use test_case::test_case;
 
 /// An update with one endpoint, ready at the given port.
 fn update(name: &str, port: u16, complete: bool) -> DiscoveryUpdate {
@@ -76,3 +77,28 @@
     assert_eq!(endpoints.len(), 1);
     assert!(table.is_listed(ServerIndex(0)) && table.is_listed(ServerIndex(1)));
 }
+
+/// Guards against work that reaches the wrong server: where a known endpoint moves to the address of a listed one, that one is
+/// gone, although the agent reports its removal later. Two endpoints that swap their addresses both stay.
+#[test_case(&[("s-2", 1)] => vec![(0, EndpointState::Removed), (1, EndpointState::Ready)] ; "one moves")]
+#[test_case(&[("s-2", 1), ("s-1", 2)] => vec![(1, EndpointState::Ready), (0, EndpointState::Ready)] ; "two swap")]
+#[test_case(&[("s-2", 2)] => vec![(1, EndpointState::Ready)] ; "none moves")]
+fn known_endpoint_takes_over_the_address_of_a_listed_one(
+    changes: &[(&str, u16)],
+) -> Vec<(u32, EndpointState)> {
+    let combined = |endpoints: &[(&str, u16)], complete| DiscoveryUpdate {
+        version: 1,
+        complete,
+        endpoints: endpoints
+            .iter()
+            .flat_map(|&(name, port)| update(name, port, complete).endpoints)
+            .collect(),
+    };
+    let mut table = EndpointTable::new(Vec::new());
+    table.apply(combined(&[("s-1", 1), ("s-2", 2)], true), false);
+    let applied = table.apply(combined(changes, false), false).endpoints;
+    applied
+        .iter()
+        .map(|endpoint| (endpoint.server.0, endpoint.state))
+        .collect()
+}
