--- a/crates/merlinreel/tests/sockets/slow_clients.rs
+++ b/crates/merlinreel/tests/sockets/slow_clients.rs
@@ -87,3 +87,31 @@
     }
     assert_eq!(client.request("pay", 9, 1).status(), 200);
 }
+
+/// Guards against clients that keep others from being served by reading long responses slowly: each holds a connection to a
+/// server until it has read its response.
+#[test]
+fn slow_readers_of_long_responses_leave_connections_for_others() {
+    const SLOW_READERS: u32 = 95;
+    const LONG_BYTES: usize = 8 << 20;
+    /// Time in which the slow readers' responses have begun.
+    const BEGIN_TIME: Duration = Duration::from_millis(1500);
+    let long_body = "x".repeat(LONG_BYTES);
+    let server = ScriptedServer::start(move |message| {
+        if message.start_line.starts_with("POST") {
+            response("200 OK", "", &long_body)
+        } else {
+            ok_response()
+        }
+    });
+    let mut config = config(&[instance("s-1", server.address, "up")]);
+    config["settings"]["packages"][0]["unitsPerS"] = 1000.into();
+    let program = Program::start(&config);
+    let mut slow_readers: Vec<Client> = (0..SLOW_READERS).map(|_| program.client()).collect();
+    for (customer, reader) in (1..).zip(&mut slow_readers) {
+        reader.send(&request("pay", customer, 1, "4000m"));
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(BEGIN_TIME);
+    assert_eq!(program.client().request("look", 1000, 1).status(), 200);
+}
