--- a/crates/merlinreel/tests/sockets/long_responses.rs
+++ b/crates/merlinreel/tests/sockets/long_responses.rs
@@ -6,7 +6,6 @@
     BUFFERED_BYTES, Class, Framing, PATIENT_TIMEOUT, long_body, patient_config, react_to_first,
 };
 use merlinreel_testkit::*;
-use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 use test_case::{test_case, test_matrix};
@@ -257,23 +256,7 @@
 /// A long response of the old process arrives complete although the new process has taken over the listening socket.
 #[test_matrix([Duration::from_millis(200), Duration::from_millis(1500)], [Framing::Length, Framing::Chunked])]
 fn slow_long_response_survives_an_upgrade(after: Duration, framing: Framing) {
-    let server = paced_server(Pace::of(framing));
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("a local address");
-    let mut config = limiter_config(&server);
-    config["listen"] = address.to_string().into();
-    config["ops"] = free_address().to_string().into();
-    let mut old_process = Program::start_with_listener(&config, &listener);
-    let stream = request_stream(&old_process, Class::NonIdempotent, SHORT_TIMEOUT);
-    let received = thread::spawn(move || receive_after(&stream));
-    server.next_request();
-    thread::sleep(after);
-    config["ops"] = free_address().to_string().into();
-    let _new_process = Program::start_with_listener(&config, &listener);
-    old_process.signal("-TERM");
-    let received = received.join().expect("a client that does not panic");
-    received.assert_long(LONG_BYTES, SHORT_TIMEOUT);
-    assert!(old_process.wait().success());
+    assert_response_survives_an_upgrade(after, Pace::of(framing), SHORT_TIMEOUT);
 }
 
 /// A server that discovery no longer lists completes the long response that it has begun.
--- a/crates/merlinreel/tests/sockets/paced_responses.rs
+++ b/crates/merlinreel/tests/sockets/paced_responses.rs
@@ -3,7 +3,7 @@
 use crate::responses::{Class, Framing, chunks, long_body};
 use merlinreel_testkit::*;
 use std::io::BufReader;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -253,3 +253,25 @@
         assert!(program.wait().success());
     }
 }
+
+/// Asserts that a response of the old process arrives complete although the new process has taken over the listening socket
+/// some time after its request.
+pub fn assert_response_survives_an_upgrade(after: Duration, pace: Pace, timeout: Duration) {
+    let server = paced_server(pace);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a local address");
+    let mut config = limiter_config(&server);
+    config["listen"] = address.to_string().into();
+    config["ops"] = free_address().to_string().into();
+    let mut old_process = Program::start_with_listener(&config, &listener);
+    let stream = request_stream(&old_process, Class::NonIdempotent, timeout);
+    let received = thread::spawn(move || receive_after(&stream));
+    server.next_request();
+    thread::sleep(after);
+    config["ops"] = free_address().to_string().into();
+    let _new_process = Program::start_with_listener(&config, &listener);
+    old_process.signal("-TERM");
+    let received = received.join().expect("a client that does not panic");
+    received.assert_long(LONG_BYTES, timeout);
+    assert!(old_process.wait().success());
+}
--- a/crates/merlinreel/tests/sockets/paused_responses.rs
+++ b/crates/merlinreel/tests/sockets/paused_responses.rs
@@ -211,3 +211,16 @@
     };
     assert_response_survives(meanwhile, after, pace, PAUSED_TIMEOUT);
 }
+
+/// A response that pauses across its deadline arrives complete also where the limiter is upgraded meanwhile.
+#[test_matrix(
+    [Duration::from_millis(200), Duration::from_millis(1500)],
+    [Framing::Length, Framing::Chunked, Framing::UntilClose]
+)]
+fn paused_long_response_survives_an_upgrade(after: Duration, framing: Framing) {
+    let pace = Pace {
+        pause: Duration::from_millis(2000),
+        ..Pace::paused(framing, 2 * PIECE_BYTES)
+    };
+    assert_response_survives_an_upgrade(after, pace, PAUSED_TIMEOUT);
+}
