Show that a process of an upgrade misses the claims of a minute in which it made none

Found by reading the change once more: SharedIds::begin_period opens the file of the current minute alone. A process that admits no keyed or single-use request in a whole minute never reads what the other one admitted in it, and would run such a request again.

No product code changes here.

--- a/crates/merlinreel/src/admission/shared_ids/tests.rs
+++ b/crates/merlinreel/src/admission/shared_ids/tests.rs
@@ -94,3 +94,13 @@
             .all(|file| file.read_bytes < 2 * MAX_FILE_BYTES)
     );
 }
+
+/// Guards against missing what the other process has claimed in a period in which this one claimed nothing.
+#[test]
+fn claim_of_a_period_without_an_own_claim_is_known() {
+    let listen = listen();
+    let (mut first, mut second) = (open(listen), open(listen));
+    let period = current_period() + 1;
+    assert!(first.claim_in(period, b"9b", REFUSAL).expect("files"));
+    assert!(!second.claim_in(period + 1, b"9b", REFUSAL).expect("files"));
+}
